--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,5 @@
+//! archlink: admission decisions for services sold by plan.
+#![forbid(unsafe_code)]
+
+pub mod interface;
+pub mod logic;
