--- a/src/logic.rs
+++ b/src/logic.rs
@@ -117,6 +117,7 @@
     customer: u64,
     units: f64,
     until: f64,
+    count_by: f64,
     sent: Vec<Sent>,
     holds_place: bool,
     /// The window that took its units, for settling.
@@ -336,8 +337,10 @@
         let known = self.customers.entry(customer).or_insert_with(fresh);
         known.seen = now;
         let until = now + left;
+        let count_by = (now + 2.0 * self.wait_bound()).min(until - 0.005);
+        let sent = Vec::new();
         let open =
-            Open { lane, plan, customer, units, until, sent: Vec::new(), holds_place: false, charged: None };
+            Open { lane, plan, customer, units, until, count_by, sent, holds_place: false, charged: None };
         self.open.insert(id, open);
         if !self.below_ceiling(id, share) {
             self.push_back_by_quota(out, id, 0.0);
@@ -396,10 +399,10 @@
             };
             if fits { gateway.ask_quota(out, id) } else { gateway.push_back_by_quota(out, id, OPEN_SOON) }
         });
-        self.state_open(out, customer, Some(next));
+        self.state_open(out, customer, Some((id, next)));
     }
 
-    fn state_open(&mut self, out: &mut dyn Outward, customer: u64, next: Option<AfterCount>) {
+    fn state_open(&mut self, out: &mut dyn Outward, customer: u64, next: Option<(u32, AfterCount)>) {
         let slot = (self.now / OPEN_SLOT) as u64;
         let Some(known) = self.customers.get_mut(&customer) else { return };
         let (mine, restate) = (known.out, known.open_slot != slot);
@@ -469,7 +472,7 @@
                 None => gateway.read_closed(out, id, k, total, index, gone),
             }
         });
-        self.push(out, present, keep, Some(next));
+        self.push(out, present, keep, Some((id, next)));
     }
 
     fn read_closed(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
@@ -495,7 +498,7 @@
             }
         });
         self.tally(before, keep);
-        self.push(out, before, keep, Some(next));
+        self.push(out, before, keep, Some((id, next)));
     }
 
     fn judge(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, closed: f64, gone: f64) {
@@ -576,14 +579,14 @@
                 Some(_) => {
                     gateway.forget(force);
                     gateway.tally(force, tier.active);
-                    gateway.push(out, force, tier.active, Some(after_force));
+                    gateway.push(out, force, tier.active, Some((id, after_force)));
                 }
                 None => after_force(gateway, out, None),
             }
         });
         self.forget(taken);
         self.tally(taken, whole).held = 1.0;
-        self.push(out, taken, whole, Some(after_taken));
+        self.push(out, taken, whole, Some((id, after_taken)));
     }
 
     /// Without the counter a gateway grants its own part of the quota: rate and burst times its share.
@@ -634,7 +637,7 @@
     }
 
     /// Brings the counter to what is held: one add of what was not claimed yet.
-    fn push(&mut self, out: &mut dyn Outward, name: u64, keep: f64, next: Option<AfterCount>) {
+    fn push(&mut self, out: &mut dyn Outward, name: u64, keep: f64, next: Option<(u32, AfterCount)>) {
         if !self.terms.may_count {
             return;
         }
@@ -645,9 +648,11 @@
         tally.claimed = tally.held;
         tally.asked.push_back((serial, amount, now));
         out.count(name, amount, keep.min(59.0));
-        if let Some(next) = next {
+        if let Some((id, next)) = next {
             self.waits.insert(serial, next);
-            let wait = self.wait_bound();
+            // All waits of an inquiry together stay within its own bound, short as its client's time may be.
+            let by = self.open.get(&id).map_or(now, |o| o.count_by);
+            let wait = (by - now).clamp(0.0, self.wait_bound());
             let lapse: Step = Box::new(move |gateway, out| {
                 if let Some(next) = gateway.waits.remove(&serial) {
                     gateway.counter_failed(out);
