Use in a window drains at the tier's rate, from what was last seen on

The closed window and what was seen since now drain at the tier's own rate, a lower bound of the room. The same room serves when the counter is out.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,8 +45,8 @@
 /// Share of the rate that the burst tier may use up, and of the burst that it may grant at once. Half the burst
 /// above a window half as long halves the wait for room after a burst; a quarter of the rate lets the tier
 /// come back after two windows. Both are shares, so they fit any plan; docs/design.md has the sum.
-const BURST_OF_RATE: f64 = 0.25;
-const BURST_OF_BURST: f64 = 0.4;
+const BURST_OF_RATE: f64 = 0.1;
+const BURST_OF_BURST: f64 = 0.25;
 /// Active period of the burst tier over its window: short, so that what it shadows comes back soon.
 const ACTIVE_OF_WINDOW: f64 = 0.25;
 
@@ -57,16 +57,17 @@
         return Vec::new();
     }
     let (rate, burst) = (plan.rate, plan.burst.max(1e-3));
-    let limit = BURST_OF_BURST * burst / (1.0 + ACTIVE_OF_WINDOW);
     let whole = (burst / rate).clamp(MIN_WINDOW, MAX_WINDOW);
+    let cycle = BURST_OF_BURST * burst / (BURST_OF_RATE * rate);
+    let active = whole * ACTIVE_OF_WINDOW;
+    let wide = (cycle / 2.0).min(MAX_WINDOW);
+    let limit = BURST_OF_BURST * burst / (1.0 + active / wide);
     let mut tiers = Vec::new();
-    if limit >= most_units && whole * BURST_OF_BURST / BURST_OF_RATE <= MAX_WINDOW * 2.0 {
+    if limit >= most_units && cycle <= 2.0 * MAX_WINDOW && burst * (1.0 - BURST_OF_BURST) >= most_units {
         let base = (1.0 - BURST_OF_BURST) * burst;
         let window = (base / ((1.0 - BURST_OF_RATE) * rate)).clamp(MIN_WINDOW, MAX_WINDOW);
         tiers.push(Tier { window, limit: base, active: f64::INFINITY, cooldown: 0.0 });
-        let active = whole * ACTIVE_OF_WINDOW;
-        let cooldown = (BURST_OF_BURST * burst / (BURST_OF_RATE * rate) - active).max(0.0);
-        tiers.push(Tier { window: whole, limit, active, cooldown });
+        tiers.push(Tier { window: wide, limit, active, cooldown: (cycle - active).max(0.0) });
     } else {
         let limit = burst.min(rate * whole);
         tiers.push(Tier { window: whole, limit, active: f64::INFINITY, cooldown: 0.0 });
@@ -92,19 +93,50 @@
     asked: VecDeque<(u64, f64, f64)>,
 }
 
+/// One tier's slide as seen from here: the window and total last heard, and the room that was left then.
+#[derive(Clone, Copy, Default)]
+struct Slide {
+    seen: bool,
+    index: u64,
+    total: f64,
+    room: f64,
+    at: f64,
+    closed: Option<(u64, f64)>,
+    /// Until when, and from how many units on, no room is expected.
+    full: (f64, f64),
+}
+
+impl Slide {
+    /// Room in the tier after an add that brought the present window to `total`. Past use drains at the tier's
+    /// own rate: from what was last seen on, or, where that is too long ago, from the closed window alone, as if
+    /// all of it had come at its end. Both are lower bounds of the room, so the better one holds.
+    fn hear(&mut self, tier: &Tier, index: u64, gone: f64, total: f64, units: f64, now: f64) -> f64 {
+        let closed = self.closed.filter(|c| c.0 + 1 == index).map(|c| c.1);
+        let kept = closed.map_or(0.0, |closed| (tier.limit - closed).max(0.0));
+        let mut room = (kept + gone * tier.limit).min(tier.limit) - total;
+        let grown = (self.room + (now - self.at) * tier.limit / tier.window).min(tier.limit);
+        // A total that fell by more than takebacks explain was lost; the room seen before outlives it.
+        let fell = |used: f64| if used < -LOST_UNITS * units.max(1.0) { units } else { used };
+        if self.seen && self.index == index {
+            room = room.max(grown - fell(total - self.total));
+        } else if self.seen && self.index + 1 == index && closed.is_some() {
+            room = room.max(grown - fell(closed.unwrap_or(0.0) - self.total + total));
+        }
+        *self = Slide { seen: true, index, total, room, at: now, ..*self };
+        room
+    }
+}
+/// Takebacks of other gateways in flight are at most a few inquiries.
+const LOST_UNITS: f64 = 4.0;
+
 struct Customer {
-    plan: usize,
     seen: f64,
-    /// Share of the customer's use that comes through this gateway, and its own store for when it decides alone.
+    /// Share of the customer's use that comes through this gateway.
     share: f64,
-    level: f64,
-    level_at: f64,
+    slides: [Slide; 3],
     /// Tier known to be in force, and until when.
     entered: (usize, f64),
     taken_until: [f64; 3],
-    /// Per tier: the window read last, its total, and until when no room is expected for how many units.
-    closed: [Option<(u64, f64)>; 3],
-    full: [(f64, f64); 3],
     out: f64,
     open_slot: u64,
     ceiling: f64,
@@ -320,15 +352,11 @@
         let terms = &self.terms.plans[plan];
         let share = 1.0 / f64::from(spread.max(1));
         let fresh = || Customer {
-            plan,
             seen: now,
             share,
-            level: (terms.burst * share).max(self.terms.most_units),
-            level_at: now,
+            slides: [Slide { room: terms.burst, at: now, ..Slide::default() }; 3],
             entered: (0, f64::INFINITY),
             taken_until: [0.0; 3],
-            closed: [None; 3],
-            full: [(0.0, 0.0); 3],
             out: 0.0,
             open_slot: 0,
             ceiling: 0.0,
@@ -443,7 +471,7 @@
         let Some(known) = self.customers.get(&customer) else { return };
         let (index, gone) = window(customer, &tier, now);
         let (present, keep) = (name(customer, k as u64, index), tier.window * 2.0 + 0.5);
-        let full = known.full[k];
+        let full = known.slides[k].full;
         if full.0 > now && units >= full.1 {
             return self.beyond(out, id, k, full.0 - now);
         }
@@ -458,23 +486,39 @@
             }
             return self.decide_alone(out, id);
         }
-        let next: AfterCount = Box::new(move |gateway, out, total| {
-            if !gateway.open.contains_key(&id) {
-                return;
-            }
-            let Some(total) = total else { return gateway.decide_alone(out, id) };
-            let known = gateway.customers.get(&customer).and_then(|c| c.closed[k]);
-            let closed = known.filter(|c| c.0 + 1 == index).map(|c| c.1);
-            match closed {
-                Some(closed) => gateway.judge(out, id, k, total, closed, gone),
-                None if total + tier.limit * (1.0 - gone) <= tier.limit => gateway.send_on(out, id),
-                None if total > tier.limit => gateway.judge(out, id, k, total, 0.0, gone),
-                None => gateway.read_closed(out, id, k, total, index, gone),
-            }
+        let next: AfterCount = Box::new(move |gateway, out, total| match total {
+            _ if !gateway.open.contains_key(&id) => (),
+            None => gateway.decide_alone(out, id),
+            Some(total) => gateway.judge(out, id, k, total, index, gone),
         });
         self.push(out, present, keep, Some((id, next)));
     }
 
+    fn judge(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
+        let now = self.now;
+        let open = &self.open[&id];
+        let (customer, units) = (open.customer, open.units);
+        let tier = self.tiers[open.plan][k].clone();
+        let Some(known) = self.customers.get_mut(&customer) else { return };
+        let slide = &mut known.slides[k];
+        let before = *slide;
+        let room = slide.hear(&tier, index, gone, total, units, now);
+        if room >= -1e-6 {
+            return self.send_on(out, id);
+        }
+        if slide.closed.is_none_or(|c| c.0 + 1 != index) && total <= 2.0 * tier.limit {
+            *slide = before;
+            return self.read_closed(out, id, k, total, index, gone);
+        }
+        slide.room += units;
+        slide.total -= units;
+        // Room comes at the tier's rate; until then the gateway need not ask again.
+        let wait = -room * tier.window / tier.limit;
+        slide.full = (now + wait.min(FULL_MOST), units);
+        self.take_back(out, id);
+        self.beyond(out, id, k, wait);
+    }
+
     fn read_closed(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
         let open = &self.open[&id];
         let customer = open.customer;
@@ -489,38 +533,18 @@
                 Some(read) if read + 0.01 >= mine => read,
                 _ => mine / share,
             };
-            known.closed[k] = Some((index.wrapping_sub(1), closed));
+            known.slides[k].closed = Some((index.wrapping_sub(1), closed));
             if closed > 0.0 && mine > 0.0 {
                 known.share += SHARE_STEP * ((mine / closed).min(1.0) - share);
             }
             if gateway.open.contains_key(&id) {
-                gateway.judge(out, id, k, total, closed, gone);
+                gateway.judge(out, id, k, total, index, gone);
             }
         });
         self.tally(before, keep);
         self.push(out, before, keep, Some((id, next)));
     }
 
-    fn judge(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, closed: f64, gone: f64) {
-        let open = &self.open[&id];
-        let (customer, units) = (open.customer, open.units);
-        let tier = &self.tiers[open.plan][k];
-        let over = total + closed.min(tier.limit) * (1.0 - gone) - tier.limit;
-        if over <= 1e-6 {
-            return self.send_on(out, id);
-        }
-        // Room comes as the closed window slides out; until then the gateway need not ask again.
-        let slide = closed.min(tier.limit) / tier.window;
-        let rest = (1.0 - gone) * tier.window;
-        let wait = if slide > 0.0 { (over / slide).min(rest) } else { rest };
-        let full = (self.now + wait.min(FULL_MOST), units);
-        if let Some(known) = self.customers.get_mut(&customer) {
-            known.full[k] = full;
-        }
-        self.take_back(out, id);
-        self.beyond(out, id, k, wait);
-    }
-
     fn take_back(&mut self, out: &mut dyn Outward, id: u32) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some((name, keep)) = open.charged.take() else { return };
@@ -589,27 +613,25 @@
         self.push(out, taken, whole, Some((id, after_taken)));
     }
 
-    /// Without the counter a gateway grants its own part of the quota: rate and burst times its share.
+    /// Without the counter a gateway goes by the room it last saw: it drains on, and each own inquiry is taken to
+    /// stand for the others' too, by the share of the customer's use that comes through here.
     fn decide_alone(&mut self, out: &mut dyn Outward, id: u32) {
+        let now = self.now;
         let open = &self.open[&id];
         let (customer, units) = (open.customer, open.units);
-        let rate = self.terms.plans[open.plan].rate;
-        self.fill_own(customer);
-        let Some(known) = self.customers.get(&customer) else { return };
-        let (level, pace) = (known.level, (rate * known.share).max(1e-6));
-        if level + 1e-9 >= units {
+        let (burst, rate) = (self.terms.plans[open.plan].burst, self.terms.plans[open.plan].rate);
+        let Some(known) = self.customers.get_mut(&customer) else { return };
+        let cost = (units / known.share.max(0.01)).min(burst);
+        let slide = &mut known.slides[0];
+        slide.room = (slide.room + (now - slide.at) * rate).min(burst);
+        slide.at = now;
+        if slide.room + 1e-9 >= cost {
+            slide.room -= cost;
             return self.send_on(out, id);
         }
+        let wait = (cost - slide.room) / rate;
         self.take_back(out, id);
-        self.push_back_by_quota(out, id, (units - level) / pace);
-    }
-
-    fn fill_own(&mut self, customer: u64) {
-        let Some(known) = self.customers.get_mut(&customer) else { return };
-        let plan = &self.terms.plans[known.plan];
-        let most = (plan.burst * known.share).max(self.terms.most_units);
-        known.level = (known.level + (self.now - known.level_at) * plan.rate * known.share).min(most);
-        known.level_at = self.now;
+        self.push_back_by_quota(out, id, wait);
     }
 
     // ---- The counter ------------------------------------------------------------------------------------
@@ -837,9 +859,7 @@
         };
         let open = &self.open[&id];
         let (customer, units) = (open.customer, open.units);
-        self.fill_own(customer);
         if let Some(known) = self.customers.get_mut(&customer) {
-            known.level -= units;
             known.ceiling -= units;
         }
         self.hand_off(out, id, host);
@@ -921,7 +941,7 @@
         let Some(open) = self.open.get(&id) else { return };
         let more = true_units - open.units;
         if let Some(known) = self.customers.get_mut(&open.customer) {
-            known.level -= more;
+            known.slides[0].room -= more;
         }
         if let Some((name, keep)) = open.charged {
             self.tally(name, keep).held += more;
