--- a/src/logic.rs
+++ b/src/logic.rs
@@ -818,7 +818,7 @@
                 let pace = ended.took / (1.0 + units);
                 host.pace = if host.pace > 0.0 { host.pace + PACE_STEP * (pace - host.pace) } else { pace };
                 if ended.took < goal * EASY && host.out + 2.0 > host.limit {
-                    host.limit = (host.limit + 1.0).min(MOST_LIMIT);
+                    host.limit = (host.limit + 1.0 / host.limit).min(MOST_LIMIT);
                 } else if ended.took > goal * HARD && host.cut_at + goal / 2.0 < now {
                     host.cut_at = now;
                     host.limit = (host.limit * 0.8).max(1.0);
@@ -1063,11 +1063,11 @@
 /// Between trial calls to a counter that is out: soon enough for a few-second trouble, too few to crowd it.
 const TRIAL: f64 = 0.1;
 /// Hand-offs out at a host at first and at most; the first lets a small host hold a few more than its cores.
-const FIRST_LIMIT: f64 = 6.0;
+const FIRST_LIMIT: f64 = 3.0;
 const MOST_LIMIT: f64 = 64.0;
 /// An answer in under this part of the goal time makes room for more, one past the other part for less.
-const EASY: f64 = 0.4;
-const HARD: f64 = 0.7;
+const EASY: f64 = 0.25;
+const HARD: f64 = 0.5;
 /// Part of the goal time after which a hand-off is doubted: time for a second one is left.
 const PATIENCE: f64 = 0.55;
 /// Each hand-off earns this part of a doubted one, saved up to a few: at most a tenth more work.
