--- a/src/logic.rs
+++ b/src/logic.rs
@@ -205,6 +205,7 @@
     good: u32,
     counter_out: bool,
     trial_at: f64,
+    answered_at: f64,
     spare: f64,
 }
 
@@ -234,6 +235,7 @@
             good: 0,
             counter_out: false,
             trial_at: now,
+            answered_at: now,
             spare: SPARE_MOST,
             terms,
         };
@@ -720,7 +722,8 @@
     fn counter_failed(&mut self, out: &mut dyn Outward) {
         self.strikes += 1;
         self.good = 0;
-        if self.strikes >= COUNTER_STRIKES && !self.counter_out {
+        let silent = self.now - self.answered_at > COUNTER_SILENT;
+        if silent && self.strikes >= COUNTER_STRIKES && !self.counter_out {
             self.counter_out = true;
             self.trial_at = self.now + TRIAL;
             out.trace("counter out: deciding alone on own shares");
@@ -729,6 +732,7 @@
 
     fn counter_answered(&mut self, out: &mut dyn Outward) {
         self.good += 1;
+        self.answered_at = self.now;
         if !self.counter_out || self.good >= COUNTER_GOOD {
             self.strikes = 0;
         }
@@ -1052,7 +1056,7 @@
 /// Advice when all open places are taken: about a hand-off's time.
 const OPEN_SOON: f64 = 0.2;
 /// Longest time without asking about a full window, since others may have taken adds back.
-const FULL_MOST: f64 = 0.3;
+const FULL_MOST: f64 = 1.0;
 /// Part of a tier's period after which its marks are read again.
 const RECHECK: f64 = 0.25;
 /// How far one closed window moves the share: a few windows settle it.
@@ -1060,14 +1064,16 @@
 /// Unanswered calls in a row that mean the counter is out, and answered trials that mean it is back.
 const COUNTER_STRIKES: u32 = 3;
 const COUNTER_GOOD: u32 = 3;
+/// And no answer in time for this long: a crowded part turns several calls of one moment away and still works.
+const COUNTER_SILENT: f64 = 0.15;
 /// Between trial calls to a counter that is out: soon enough for a few-second trouble, too few to crowd it.
 const TRIAL: f64 = 0.1;
 /// Hand-offs out at a host at first and at most; the first lets a small host hold a few more than its cores.
 const FIRST_LIMIT: f64 = 3.0;
 const MOST_LIMIT: f64 = 64.0;
 /// An answer in under this part of the goal time makes room for more, one past the other part for less.
-const EASY: f64 = 0.25;
-const HARD: f64 = 0.5;
+const EASY: f64 = 0.2;
+const HARD: f64 = 0.4;
 /// Part of the goal time after which a hand-off is doubted: time for a second one is left.
 const PATIENCE: f64 = 0.55;
 /// Each hand-off earns this part of a doubted one, saved up to a few: at most a tenth more work.
