--- a/src/logic.rs
+++ b/src/logic.rs
@@ -565,8 +565,10 @@
         let Some(tier) = self.tiers[open.plan].get(next_tier).cloned() else {
             return self.push_back_by_quota(out, id, wait);
         };
+        // What is beyond the quota waits for spare room: it must not take the place of what is inside.
+        let soft = tier.cooldown <= 0.0 && !self.idle();
         let Some(known) = self.customers.get(&customer) else { return };
-        if known.taken_until[next_tier] > self.now || !self.may_ask() {
+        if soft || known.taken_until[next_tier] > self.now || !self.may_ask() {
             return self.beyond(out, id, next_tier, wait);
         }
         let (taken, force) =
@@ -758,6 +760,12 @@
         self.hosts.values().any(|h| h.out + 1.0 <= self.allowed(h))
     }
 
+    /// Less than a part of the room at all hosts is taken: there is work to spare for.
+    fn idle(&self) -> bool {
+        let (out, room) = self.hosts.values().fold((0.0, 0.0), |sum, h| (sum.0 + h.out, sum.1 + self.allowed(h)));
+        out < room * IDLE
+    }
+
     /// Weighted rotation among the hosts with room that the inquiry's lane leaves open.
     fn pick(&mut self, id: u32) -> Option<HostId> {
         let open = self.open.get(&id)?;
@@ -1089,3 +1097,5 @@
 const FIRST_REST: f64 = 1.0;
 /// Advice under overload, in seconds around which chance spreads it.
 const LOAD_WAIT: f64 = 0.4;
+/// Part of the room at the hosts below which they count as idle: half, so that a burst still finds room.
+const IDLE: f64 = 0.4;
