Steer each host's limit to a mean answer time; share first limits out among gateways

Limits may now lie below one and are steered so that answers take a quarter of the goal time on average. Also: a crowded counter is asked by a part of the inquiries only.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -101,6 +101,8 @@
     total: f64,
     room: f64,
     at: f64,
+    /// Granted since without asking, others' part included.
+    ahead: f64,
     closed: Option<(u64, f64)>,
     /// Until when, and from how many units on, no room is expected.
     full: (f64, f64),
@@ -122,7 +124,7 @@
         } else if self.seen && self.index + 1 == index && closed.is_some() {
             room = room.max(grown - fell(closed.unwrap_or(0.0) - self.total + total));
         }
-        *self = Slide { seen: true, index, total, room, at: now, ..*self };
+        *self = Slide { seen: true, index, total, room, at: now, ahead: 0.0, ..*self };
         room
     }
 }
@@ -169,7 +171,6 @@
     line: HostLine,
     out: f64,
     limit: f64,
-    cut_at: f64,
     fix: f64,
     pace: f64,
     success: f64,
@@ -201,11 +202,8 @@
     serial: u64,
     wake_at: f64,
     round_at: f64,
-    strikes: u32,
-    good: u32,
-    counter_out: bool,
-    trial_at: f64,
-    answered_at: f64,
+    ask_share: f64,
+    crowded: bool,
     spare: f64,
 }
 
@@ -231,11 +229,8 @@
             serial: 0,
             wake_at: f64::INFINITY,
             round_at: now + ROUND,
-            strikes: 0,
-            good: 0,
-            counter_out: false,
-            trial_at: now,
-            answered_at: now,
+            ask_share: 1.0,
+            crowded: false,
             spare: SPARE_MOST,
             terms,
         };
@@ -311,11 +306,11 @@
             }
         }
         for line in lines {
+            let limit = self.first_limit(line);
             let fresh = Host {
                 line: line.clone(),
                 out: 0.0,
-                limit: FIRST_LIMIT,
-                cut_at: now,
+                limit,
                 fix: 1.0,
                 pace: 0.0,
                 success: 1.0,
@@ -412,24 +407,21 @@
         let Some(known) = self.customers.get_mut(&customer) else { return };
         known.out += 1.0;
         let (mine, share) = (known.out, known.share);
-        if !self.may_ask() {
-            self.state_open(out, customer, None);
-            return match mine <= (most * share).max(1.0) {
-                true => self.ask_quota(out, id),
-                false => self.push_back_by_quota(out, id, OPEN_SOON),
-            };
-        }
+        // Alone: the own part of the cap, a broken place by chance.
         let next: AfterCount = Box::new(move |gateway, out, total| {
+            let chance = gateway.chance.rand_float();
             if !gateway.open.contains_key(&id) {
-                return;
+            } else if total.map_or(mine <= most * share + chance, |total| total <= most + 0.01) {
+                gateway.ask_quota(out, id);
+            } else {
+                gateway.push_back_by_quota(out, id, OPEN_SOON);
             }
-            let fits = match total {
-                Some(total) => total <= most + 0.01,
-                None => mine <= (most * share).max(1.0),
-            };
-            if fits { gateway.ask_quota(out, id) } else { gateway.push_back_by_quota(out, id, OPEN_SOON) }
         });
-        self.state_open(out, customer, Some((id, next)));
+        if self.may_ask() {
+            return self.state_open(out, customer, Some((id, next)));
+        }
+        self.state_open(out, customer, None);
+        next(self, out, None);
     }
 
     fn state_open(&mut self, out: &mut dyn Outward, customer: u64, next: Option<(u32, AfterCount)>) {
@@ -482,10 +474,6 @@
             open.charged = Some((present, keep));
         }
         if !self.may_ask() {
-            if now >= self.trial_at {
-                self.trial_at = now + TRIAL;
-                self.push(out, present, keep, None);
-            }
             return self.decide_alone(out, id);
         }
         let next: AfterCount = Box::new(move |gateway, out, total| match total {
@@ -627,13 +615,12 @@
         let Some(known) = self.customers.get_mut(&customer) else { return };
         let cost = (units / known.share.max(0.01)).min(burst);
         let slide = &mut known.slides[0];
-        slide.room = (slide.room + (now - slide.at) * rate).min(burst);
-        slide.at = now;
-        if slide.room + 1e-9 >= cost {
-            slide.room -= cost;
+        let room = (slide.room - slide.ahead + (now - slide.at) * rate).min(burst);
+        if room + 1e-9 >= cost {
+            slide.ahead = slide.room + (now - slide.at) * rate - room + cost;
             return self.send_on(out, id);
         }
-        let wait = (cost - slide.room) / rate;
+        let wait = (cost - room) / rate;
         self.take_back(out, id);
         self.push_back_by_quota(out, id, wait);
     }
@@ -652,8 +639,11 @@
         }
     }
 
-    fn may_ask(&self) -> bool {
-        self.terms.may_count && !self.counter_out
+    /// While the counter answers in time every inquiry asks it. Unanswered, late and turned-away calls lower the
+    /// part that asks, answers raise it: a silent counter is tried by a few, a crowded one is not crowded further,
+    /// and one that comes back is eased into. What was not told goes along with the next add to its name.
+    fn may_ask(&mut self) -> bool {
+        self.terms.may_count && (self.ask_share >= 1.0 || self.chance.rand_float() < self.ask_share)
     }
 
     /// Longest wait for an answer: a twentieth of the shortest goal time, and no longer than calls live.
@@ -722,25 +712,18 @@
     }
 
     fn counter_failed(&mut self, out: &mut dyn Outward) {
-        self.strikes += 1;
-        self.good = 0;
-        let silent = self.now - self.answered_at > COUNTER_SILENT;
-        if silent && self.strikes >= COUNTER_STRIKES && !self.counter_out {
-            self.counter_out = true;
-            self.trial_at = self.now + TRIAL;
-            out.trace("counter out: deciding alone on own shares");
+        self.ask_share = (self.ask_share * ASK_LESS).max(ASK_LEAST);
+        if self.ask_share < 0.3 && !self.crowded {
+            self.crowded = true;
+            out.trace("counter silent, late or crowded: mostly deciding alone on own shares");
         }
     }
 
     fn counter_answered(&mut self, out: &mut dyn Outward) {
-        self.good += 1;
-        self.answered_at = self.now;
-        if !self.counter_out || self.good >= COUNTER_GOOD {
-            self.strikes = 0;
-        }
-        if self.counter_out && self.good >= COUNTER_GOOD {
-            self.counter_out = false;
-            out.trace("counter back");
+        self.ask_share = (self.ask_share * ASK_MORE).min(1.0);
+        if self.ask_share >= 1.0 && self.crowded {
+            self.crowded = false;
+            out.trace("counter back: asking for every inquiry");
         }
     }
 
@@ -753,16 +736,39 @@
         }
         let trial = host.rests > 0;
         let warmth = self.warmth(&host.line);
-        if trial { 1.0 } else { (host.limit * warmth).max(1.0) }
+        if trial { 1.0 } else { (host.limit * warmth).ceil() }
     }
 
+    /// Room for one more hand-off: at some host, and within the sum of all limits, which may each be below one
+    /// where many gateways share few hosts.
     fn any_room(&self) -> bool {
-        self.hosts.values().any(|h| h.out + 1.0 <= self.allowed(h))
+        let (mut out, mut sum, mut any) = (0.0, 0.0, false);
+        for host in self.hosts.values() {
+            let allowed = self.allowed(host);
+            any |= host.out + 1.0 <= allowed;
+            out += host.out;
+            sum += if allowed > 0.0 { host.limit * self.warmth(&host.line) } else { host.out };
+        }
+        any && out + 1.0 <= sum.max(1.0)
+    }
+
+    /// Limit of a host never tried: an even part of what a host of its size is taken to hold at first.
+    fn first_limit(&self, line: &HostLine) -> f64 {
+        let size = if self.terms.sized { line.size.max(0.01) } else { 1.0 };
+        let mean = match self.hosts.len() {
+            0 => size,
+            n => {
+                self.hosts.values().map(|h| if self.terms.sized { h.line.size } else { 1.0 }).sum::<f64>()
+                    / n as f64
+            }
+        };
+        (FIRST_LIMIT * size / mean.max(0.01)).min(3.0 * FIRST_LIMIT) / f64::from(self.terms.gateways)
     }
 
     /// Less than a part of the room at all hosts is taken: there is work to spare for.
     fn idle(&self) -> bool {
-        let (out, room) = self.hosts.values().fold((0.0, 0.0), |sum, h| (sum.0 + h.out, sum.1 + self.allowed(h)));
+        let (out, room) =
+            self.hosts.values().fold((0.0, 0.0), |sum, h| (sum.0 + h.out, sum.1 + self.allowed(h)));
         out < room * IDLE
     }
 
@@ -829,21 +835,16 @@
                 host.success += SUCCESS_STEP * (1.0 - host.success);
                 let pace = ended.took / (1.0 + units);
                 host.pace = if host.pace > 0.0 { host.pace + PACE_STEP * (pace - host.pace) } else { pace };
-                if ended.took < goal * EASY && host.out + 2.0 > host.limit {
-                    host.limit = (host.limit + 1.0 / host.limit).min(MOST_LIMIT);
-                } else if ended.took > goal * HARD && host.cut_at + goal / 2.0 < now {
-                    host.cut_at = now;
-                    host.limit = (host.limit * 0.8).max(1.0);
-                }
+                host.steer(ended.took / goal);
             }
             Outcome::Error => host.success += SUCCESS_STEP * (0.0 - host.success),
             Outcome::Full => {
-                host.limit = (host.limit * 0.8).max(1.0);
+                host.limit = (host.limit * 0.8).max(LEAST_LIMIT);
                 host.rest_until = host.rest_until.max(now + 0.05);
             }
             Outcome::TimedOut | Outcome::Cancelled => {
                 host.strikes += 1;
-                host.limit = (host.limit * 0.9).max(1.0);
+                host.steer(1.0);
                 if host.strikes >= HOST_STRIKES {
                     host.rest(now);
                 }
@@ -1030,6 +1031,15 @@
 }
 
 impl Host {
+    /// Moves the limit so that answers take `AIM_AT` of the goal time on average: less when they are slower,
+    /// whatever slows them, more when they are quicker and the limit is what holds work back.
+    fn steer(&mut self, part_of_goal: f64) {
+        let off = 1.0 - part_of_goal.min(1.0) / AIM_AT;
+        if off < 0.0 || self.out + 2.0 > self.limit {
+            self.limit = (self.limit * (1.0 + STEER * off)).clamp(LEAST_LIMIT, MOST_LIMIT);
+        }
+    }
+
     /// Out of the rotation for a while, longer each time in a row; then one hand-off at a time until one is honoured.
     fn rest(&mut self, now: f64) {
         if self.rest_until > now {
@@ -1069,19 +1079,20 @@
 const RECHECK: f64 = 0.25;
 /// How far one closed window moves the share: a few windows settle it.
 const SHARE_STEP: f64 = 0.5;
-/// Unanswered calls in a row that mean the counter is out, and answered trials that mean it is back.
-const COUNTER_STRIKES: u32 = 3;
-const COUNTER_GOOD: u32 = 3;
-/// And no answer in time for this long: a crowded part turns several calls of one moment away and still works.
-const COUNTER_SILENT: f64 = 0.15;
-/// Between trial calls to a counter that is out: soon enough for a few-second trouble, too few to crowd it.
-const TRIAL: f64 = 0.1;
-/// Hand-offs out at a host at first and at most; the first lets a small host hold a few more than its cores.
-const FIRST_LIMIT: f64 = 3.0;
+/// Part of the inquiries that ask the counter: cut at each failed call, raised at each answer in time. Even when
+/// one call in five fails the part stays high; a silent counter brings it to the least within some ten calls, and
+/// the least still tries several times a second.
+const ASK_LESS: f64 = 0.8;
+const ASK_MORE: f64 = 1.05;
+const ASK_LEAST: f64 = 0.05;
+/// Hand-offs that all gateways together keep out at a host at first; each takes an even part and goes on from there.
+/// Enough to keep a few cores busy. At the least a gateway keeps one out at every tenth host, to see it recover.
+const FIRST_LIMIT: f64 = 9.0;
+const LEAST_LIMIT: f64 = 0.1;
 const MOST_LIMIT: f64 = 64.0;
-/// An answer in under this part of the goal time makes room for more, one past the other part for less.
-const EASY: f64 = 0.2;
-const HARD: f64 = 0.4;
+/// Mean time of an answer as a part of its goal time: about twice an idle host's, a third of what is still in time.
+const AIM_AT: f64 = 0.25;
+const STEER: f64 = 0.05;
 /// Part of the goal time after which a hand-off is doubted: time for a second one is left.
 const PATIENCE: f64 = 0.55;
 /// Each hand-off earns this part of a doubted one, saved up to a few: at most a tenth more work.
