Aim for answer times a little over the best seen of late

The aim of a quarter of the goal time left queues where idle hosts are much quicker. The aim now follows the best mean of fifty answers, fading slowly, and is bounded by 0.22 of the goal time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -202,6 +202,9 @@
     serial: u64,
     wake_at: f64,
     round_at: f64,
+    /// Sum and number of recent answers' parts of the goal time, and the best mean of late.
+    recent: (f64, f64),
+    best: f64,
     ask_share: f64,
     crowded: bool,
     spare: f64,
@@ -229,6 +232,8 @@
             serial: 0,
             wake_at: f64::INFINITY,
             round_at: now + ROUND,
+            recent: (0.0, 0.0),
+            best: 1.0,
             ask_share: 1.0,
             crowded: false,
             spare: SPARE_MOST,
@@ -290,6 +295,10 @@
         self.names.retain(|_, t| t.expires > now || !t.asked.is_empty());
         self.customers.retain(|_, c| c.seen + FORGET > now || c.out > 0.0);
         self.reweigh();
+        if self.recent.1 >= BEST_OF {
+            self.best = (self.best * BEST_FADES).min(self.recent.0 / self.recent.1);
+            self.recent = (0.0, 0.0);
+        }
     }
 
     // ---- The list of hosts ------------------------------------------------------------------------------
@@ -826,6 +835,7 @@
 
     fn note_outcome(&mut self, ended: &Ended, units: f64, goal: f64) {
         let now = self.now;
+        let aim = (self.best * AIM_OVER_BEST).clamp(AIM_LEAST, AIM_MOST);
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
         host.out = (host.out - 1.0).max(0.0);
         match ended.outcome {
@@ -835,7 +845,8 @@
                 host.success += SUCCESS_STEP * (1.0 - host.success);
                 let pace = ended.took / (1.0 + units);
                 host.pace = if host.pace > 0.0 { host.pace + PACE_STEP * (pace - host.pace) } else { pace };
-                host.steer(ended.took / goal);
+                host.steer(ended.took / goal, aim);
+                self.recent = (self.recent.0 + (ended.took / goal).min(1.0), self.recent.1 + 1.0);
             }
             Outcome::Error => host.success += SUCCESS_STEP * (0.0 - host.success),
             Outcome::Full => {
@@ -844,7 +855,7 @@
             }
             Outcome::TimedOut | Outcome::Cancelled => {
                 host.strikes += 1;
-                host.steer(1.0);
+                host.steer(1.0, aim);
                 if host.strikes >= HOST_STRIKES {
                     host.rest(now);
                 }
@@ -1031,10 +1042,10 @@
 }
 
 impl Host {
-    /// Moves the limit so that answers take `AIM_AT` of the goal time on average: less when they are slower,
+    /// Moves the limit so that answers take `aim` of the goal time on average: less when they are slower,
     /// whatever slows them, more when they are quicker and the limit is what holds work back.
-    fn steer(&mut self, part_of_goal: f64) {
-        let off = 1.0 - part_of_goal.min(1.0) / AIM_AT;
+    fn steer(&mut self, part_of_goal: f64, aim: f64) {
+        let off = 1.0 - part_of_goal.min(1.0) / aim;
         if off < 0.0 || self.out + 2.0 > self.limit {
             self.limit = (self.limit * (1.0 + STEER * off)).clamp(LEAST_LIMIT, MOST_LIMIT);
         }
@@ -1090,8 +1101,13 @@
 const FIRST_LIMIT: f64 = 9.0;
 const LEAST_LIMIT: f64 = 0.1;
 const MOST_LIMIT: f64 = 64.0;
-/// Mean time of an answer as a part of its goal time: about twice an idle host's, a third of what is still in time.
-const AIM_AT: f64 = 0.25;
+/// Mean time of an answer as a part of its goal time: a little over the best mean of some fifty answers of late,
+/// which tells what hosts need when little waits; no longer than leaves most answers in time.
+const AIM_OVER_BEST: f64 = 1.8;
+const AIM_LEAST: f64 = 0.05;
+const AIM_MOST: f64 = 0.22;
+const BEST_OF: f64 = 50.0;
+const BEST_FADES: f64 = 1.01;
 const STEER: f64 = 0.05;
 /// Part of the goal time after which a hand-off is doubted: time for a second one is left.
 const PATIENCE: f64 = 0.55;
