--- a/src/logic.rs
+++ b/src/logic.rs
@@ -175,6 +175,7 @@
     pace: f64,
     success: f64,
     strikes: u32,
+    heard: f64,
     rests: u32,
     rest_until: f64,
     credit: f64,
@@ -324,6 +325,7 @@
                 pace: 0.0,
                 success: 1.0,
                 strikes: 0,
+                heard: now,
                 rests: 0,
                 rest_until: 0.0,
                 credit: 0.0,
@@ -838,6 +840,9 @@
         let aim = (self.best * AIM_OVER_BEST).clamp(AIM_LEAST, AIM_MOST);
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
         host.out = (host.out - 1.0).max(0.0);
+        if [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome) {
+            host.heard = now;
+        }
         match ended.outcome {
             Outcome::Honoured => {
                 host.strikes = 0;
@@ -910,7 +915,10 @@
             return;
         }
         let Some(open) = self.open.get(&id) else { return };
-        if open.sent.len() != usize::from(nth) + 1 || open.until - self.now < 0.1 {
+        let Some(sent) = open.sent.get(usize::from(nth)) else { return };
+        // A host that has answered others since is only busy, or the inquiry is long: both are worse off by a copy.
+        let busy = self.hosts.get(&sent.host).is_some_and(|h| h.heard > sent.at);
+        if busy || open.sent.len() != usize::from(nth) + 1 || open.until - self.now < 0.1 {
             return;
         }
         if self.terms.second_copies {
