--- a/src/logic.rs
+++ b/src/logic.rs
@@ -206,6 +206,7 @@
     /// Sum and number of recent answers' parts of the goal time, and the best mean of late.
     recent: (f64, f64),
     best: f64,
+    traced_at: f64,
     ask_share: f64,
     crowded: bool,
     spare: f64,
@@ -235,6 +236,7 @@
             round_at: now + ROUND,
             recent: (0.0, 0.0),
             best: 1.0,
+            traced_at: 0.0,
             ask_share: 1.0,
             crowded: false,
             spare: SPARE_MOST,
@@ -835,7 +837,7 @@
         }
     }
 
-    fn note_outcome(&mut self, ended: &Ended, units: f64, goal: f64) {
+    fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, units: f64, goal: f64) {
         let now = self.now;
         let aim = (self.best * AIM_OVER_BEST).clamp(AIM_LEAST, AIM_MOST);
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
@@ -862,16 +864,51 @@
                 host.strikes += 1;
                 host.steer(1.0, aim);
                 if host.strikes >= HOST_STRIKES {
-                    host.rest(now);
+                    self.rest(out, ended.host);
                 }
             }
-            Outcome::ConnectFailed | Outcome::Reset => host.rest(now),
+            Outcome::ConnectFailed | Outcome::Reset => self.rest(out, ended.host),
             Outcome::NeverSent => {}
         }
     }
 
-    pub fn probed(&mut self, now: f64, _out: &mut dyn Outward, _host: HostId, _well: bool, _load: Load) {
+    /// A rest is over: where probes are allowed one asks whether the process runs before an inquiry is risked.
+    /// Guards against inquiries spent on hosts that stay dead or cut off; a host that runs but is slow passes.
+    fn rest(&mut self, out: &mut dyn Outward, id: HostId) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        if host.rest_until > now && host.rest_until.is_finite() {
+            return;
+        }
+        host.rests += 1;
+        host.strikes = 0;
+        let length = FIRST_REST * f64::from(1 << (host.rests - 1).min(3));
+        host.rest_until = now + length;
+        if self.terms.may_probe {
+            host.rest_until = f64::INFINITY;
+            let step: Step = Box::new(move |gateway, out| match gateway.hosts.get_mut(&id) {
+                Some(host) if host.line.standing == Standing::Ready => out.probe(id),
+                Some(host) => host.rest_until = gateway.now,
+                None => {}
+            });
+            self.after(length, step);
+        }
+        let resting = self.hosts.values().filter(|h| h.rests > 0).count();
+        if now > self.traced_at + TRACE_EVERY {
+            self.traced_at = now;
+            out.trace(&format!("{resting} of {} hosts rest: unreachable or silent", self.hosts.len()));
+        }
+    }
+
+    pub fn probed(&mut self, now: f64, out: &mut dyn Outward, id: HostId, well: bool, _load: Load) {
         self.now = now;
+        if let Some(host) = self.hosts.get_mut(&id).filter(|h| h.rest_until > now) {
+            host.rest_until = now;
+            if !well {
+                self.rest(out, id);
+            }
+        }
+        self.rouse(out);
     }
 
     pub fn told(&mut self, now: f64, _out: &mut dyn Outward, _from: u32, _words: &[u8]) {
@@ -949,7 +986,7 @@
             self.open.get(&ended.inquiry).map_or((1.0, self.lanes.first().map_or(1.0, |l| l.goal)), |o| {
                 (o.units, self.lanes[o.lane].goal)
             });
-        self.note_outcome(&ended, units, goal);
+        self.note_outcome(out, &ended, units, goal);
         if let Some(open) = self.open.get_mut(&ended.inquiry) {
             if let Some(sent) = open.sent.get_mut(usize::from(ended.nth)) {
                 sent.live = false;
@@ -1058,16 +1095,6 @@
             self.limit = (self.limit * (1.0 + STEER * off)).clamp(LEAST_LIMIT, MOST_LIMIT);
         }
     }
-
-    /// Out of the rotation for a while, longer each time in a row; then one hand-off at a time until one is honoured.
-    fn rest(&mut self, now: f64) {
-        if self.rest_until > now {
-            return;
-        }
-        self.rests += 1;
-        self.rest_until = now + FIRST_REST * f64::from(1 << (self.rests - 1).min(3));
-        self.strikes = 0;
-    }
 }
 
 /// Same name at every gateway: customer, what it counts and the window's number fill 64 bits without overlap,
@@ -1128,8 +1155,10 @@
 /// Part of a pace's distance from the mean that a round corrects.
 const WEIGHT_STEP: f64 = 0.1;
 /// Doubted hand-offs in a row that send a host to rest, and its first rest.
-const HOST_STRIKES: u32 = 3;
+const HOST_STRIKES: u32 = 2;
 const FIRST_REST: f64 = 1.0;
+/// Between two lines about resting hosts.
+const TRACE_EVERY: f64 = 5.0;
 /// Advice under overload, in seconds around which chance spreads it.
 const LOAD_WAIT: f64 = 0.4;
 /// Part of the room at the hosts below which they count as idle: half, so that a burst still finds room.
