--- a/src/interface.rs
+++ b/src/interface.rs
@@ -71,15 +71,16 @@
     pub tip_for: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
 /// One line of the list of hosts; `started` 0 means long ago.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct HostLine {
     pub host: HostId,
     pub zone: u8,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -89,7 +89,6 @@
     held: f64,
     claimed: f64,
     confirmed: f64,
-    total: f64,
     asked: VecDeque<(u64, f64, f64)>,
 }
 
@@ -131,6 +130,7 @@
 /// Takebacks of other gateways in flight are at most a few inquiries.
 const LOST_UNITS: f64 = 4.0;
 
+#[derive(Default)]
 struct Customer {
     seen: f64,
     /// Share of the customer's use that comes through this gateway.
@@ -167,6 +167,7 @@
     may_have_run: bool,
 }
 
+#[derive(Default)]
 struct Host {
     line: HostLine,
     out: f64,
@@ -181,12 +182,6 @@
     credit: f64,
 }
 
-struct Hand {
-    host: HostId,
-    at: f64,
-    next: AfterHandOff,
-}
-
 pub struct Gateway {
     terms: Terms,
     lanes: Vec<Lane>,
@@ -195,7 +190,7 @@
     chance: oorandom::Rand64,
     hosts: BTreeMap<HostId, Host>,
     open: BTreeMap<u32, Open>,
-    hands: BTreeMap<(u32, u16), Hand>,
+    hands: BTreeMap<(u32, u16), AfterHandOff>,
     customers: BTreeMap<u64, Customer>,
     names: BTreeMap<u64, Tally>,
     waits: BTreeMap<u64, AfterCount>,
@@ -297,6 +292,7 @@
         let now = self.now;
         self.names.retain(|_, t| t.expires > now || !t.asked.is_empty());
         self.customers.retain(|_, c| c.seen + FORGET > now || c.out > 0.0);
+        self.hosts.retain(|_, h| h.line.standing != Standing::Gone || h.out > 0.0);
         self.reweigh();
         if self.recent.1 >= BEST_OF {
             self.best = (self.best * BEST_FADES).min(self.recent.0 / self.recent.1);
@@ -319,26 +315,15 @@
         }
         for line in lines {
             let limit = self.first_limit(line);
-            let fresh = Host {
-                line: line.clone(),
-                out: 0.0,
-                limit,
-                fix: 1.0,
-                pace: 0.0,
-                success: 1.0,
-                strikes: 0,
-                heard: now,
-                rests: 0,
-                rest_until: 0.0,
-                credit: 0.0,
-            };
+            let (line, fix, success, heard) = (line.clone(), 1.0, 1.0, now);
+            let fresh = Host { line: line.clone(), limit, fix, success, heard, ..Host::default() };
             match self.hosts.get_mut(&line.host) {
                 None => drop(self.hosts.insert(line.host, fresh)),
                 Some(host) if line.started > host.line.started => {
                     let out = host.out;
                     *host = Host { out, ..fresh };
                 }
-                Some(host) => host.line = line.clone(),
+                Some(host) => host.line = line,
             }
         }
         self.rouse(out);
@@ -365,12 +350,8 @@
             seen: now,
             share,
             slides: [Slide { room: terms.burst, at: now, ..Slide::default() }; 3],
-            entered: (0, f64::INFINITY),
-            taken_until: [0.0; 3],
-            out: 0.0,
-            open_slot: 0,
-            ceiling: 0.0,
             ceiling_at: now,
+            ..Customer::default()
         };
         let known = self.customers.entry(customer).or_insert_with(fresh);
         known.seen = now;
@@ -381,7 +362,7 @@
             Open { lane, plan, customer, units, until, count_by, sent, holds_place: false, charged: None };
         self.open.insert(id, open);
         if !self.below_ceiling(id, share) {
-            self.push_back_by_quota(out, id, 0.0);
+            self.push_back(out, id, 0.0);
         } else if !self.any_room() {
             self.push_back_by_load(out, id);
         } else {
@@ -427,7 +408,7 @@
             } else if total.map_or(mine <= most * share + chance, |total| total <= most + 0.01) {
                 gateway.ask_quota(out, id);
             } else {
-                gateway.push_back_by_quota(out, id, OPEN_SOON);
+                gateway.push_back(out, id, OPEN_SOON);
             }
         });
         if self.may_ask() {
@@ -564,58 +545,67 @@
         let customer = open.customer;
         let next_tier = k + 1;
         let Some(tier) = self.tiers[open.plan].get(next_tier).cloned() else {
-            return self.push_back_by_quota(out, id, wait);
+            return self.push_back(out, id, wait);
         };
         // What is beyond the quota waits for spare room: it must not take the place of what is inside.
-        let soft = tier.cooldown <= 0.0 && !self.idle();
-        let Some(known) = self.customers.get(&customer) else { return };
+        let (load, room) = self.load();
+        let soft = tier.cooldown <= 0.0 && load > room * IDLE;
+        let known = &self.customers[&customer];
         if soft || known.taken_until[next_tier] > self.now || !self.may_ask() {
             return self.beyond(out, id, next_tier, wait);
         }
-        let (taken, force) =
-            (name(customer, 2 + next_tier as u64, 0), name(customer, 4 + next_tier as u64, 0));
-        let whole = tier.active + tier.cooldown;
+        let name = |what: u64| name(customer, what + next_tier as u64, 0);
+        let (taken, force, active, whole) = (name(2), name(4), tier.active, tier.active + tier.cooldown);
         let after_force: AfterCount = Box::new(move |gateway, out, total| {
-            let now = gateway.now;
-            let Some(known) = gateway.customers.get_mut(&customer) else { return };
             let running = total.is_some_and(|t| t > 0.5);
             if running {
-                known.entered = (next_tier, now + tier.active * RECHECK);
-            } else {
-                known.taken_until[next_tier] = now + (whole * RECHECK).min(tier.active);
-            }
-            if !gateway.open.contains_key(&id) {
-            } else if running {
-                gateway.ask_tier(out, id, next_tier);
+                gateway.enter(customer, next_tier, active * RECHECK, 0.0);
             } else {
-                gateway.beyond(out, id, next_tier, wait);
+                gateway.enter(customer, next_tier, 0.0, (whole * RECHECK).min(active));
             }
+            gateway.go_on(out, id, next_tier, running, wait);
         });
-        let after_taken: AfterCount = Box::new(move |gateway, out, total| {
-            let now = gateway.now;
-            let Some(known) = gateway.customers.get_mut(&customer) else { return };
-            match total {
-                Some(total) if total < 1.5 => {
-                    known.entered = (next_tier, now + tier.active);
-                    known.taken_until[next_tier] = now + whole;
-                    gateway.forget(force);
-                    gateway.tally(force, tier.active).held = 1.0;
-                    gateway.push(out, force, tier.active, None);
-                    if gateway.open.contains_key(&id) {
-                        gateway.ask_tier(out, id, next_tier);
-                    }
-                }
-                Some(_) => {
-                    gateway.forget(force);
-                    gateway.tally(force, tier.active);
-                    gateway.push(out, force, tier.active, Some((id, after_force)));
-                }
-                None => after_force(gateway, out, None),
+        let after_taken: AfterCount = Box::new(move |gateway, out, total| match total {
+            Some(total) if total < 1.5 => {
+                gateway.enter(customer, next_tier, active, whole);
+                gateway.mark(out, force, active, 1.0, None);
+                gateway.go_on(out, id, next_tier, true, wait);
             }
+            Some(_) => gateway.mark(out, force, active, 0.0, Some((id, after_force))),
+            None => after_force(gateway, out, None),
         });
-        self.forget(taken);
-        self.tally(taken, whole).held = 1.0;
-        self.push(out, taken, whole, Some((id, after_taken)));
+        self.mark(out, taken, whole, 1.0, Some((id, after_taken)));
+    }
+
+    fn go_on(&mut self, out: &mut dyn Outward, id: u32, k: usize, entered: bool, wait: f64) {
+        if !self.open.contains_key(&id) {
+        } else if entered {
+            self.ask_tier(out, id, k);
+        } else {
+            self.beyond(out, id, k, wait);
+        }
+    }
+
+    fn enter(&mut self, customer: u64, tier: usize, active: f64, taken: f64) {
+        let now = self.now;
+        if let Some(known) = self.customers.get_mut(&customer) {
+            known.entered = (tier, now + active);
+            known.taken_until[tier] = now + taken;
+        }
+    }
+
+    /// A mark is a name of its own: 1 sets it, 0 reads it; what was known of it before does not count.
+    fn mark(
+        &mut self,
+        out: &mut dyn Outward,
+        name: u64,
+        keep: f64,
+        add: f64,
+        next: Option<(u32, AfterCount)>,
+    ) {
+        let tally = self.tally(name, keep);
+        (tally.held, tally.claimed, tally.confirmed) = (add, 0.0, f64::NEG_INFINITY);
+        self.push(out, name, keep, next);
     }
 
     /// Without the counter a gateway goes by the room it last saw: it drains on, and each own inquiry is taken to
@@ -626,7 +616,7 @@
         let (customer, units) = (open.customer, open.units);
         let (burst, rate) = (self.terms.plans[open.plan].burst, self.terms.plans[open.plan].rate);
         let Some(known) = self.customers.get_mut(&customer) else { return };
-        let cost = (units / known.share.max(0.01)).min(burst);
+        let cost = (units / known.share.max(0.01)).min(burst.max(units));
         let slide = &mut known.slides[0];
         let room = (slide.room - slide.ahead + (now - slide.at) * rate).min(burst);
         if room + 1e-9 >= cost {
@@ -635,7 +625,7 @@
         }
         let wait = (cost - room) / rate;
         self.take_back(out, id);
-        self.push_back_by_quota(out, id, wait);
+        self.push_back(out, id, wait);
     }
 
     // ---- The counter ------------------------------------------------------------------------------------
@@ -645,13 +635,6 @@
         self.names.entry(name).or_insert_with(|| Tally { expires, ..Tally::default() })
     }
 
-    fn forget(&mut self, name: u64) {
-        if let Some(tally) = self.names.get_mut(&name) {
-            let asked = std::mem::take(&mut tally.asked);
-            *tally = Tally { asked, expires: tally.expires, ..Tally::default() };
-        }
-    }
-
     /// While the counter answers in time every inquiry asks it. Unanswered, late and turned-away calls lower the
     /// part that asks, answers raise it: a silent counter is tried by a few, a crowded one is not crowded further,
     /// and one that comes back is eased into. What was not told goes along with the next add to its name.
@@ -684,7 +667,7 @@
             let wait = (by - now).clamp(0.0, self.wait_bound());
             let lapse: Step = Box::new(move |gateway, out| {
                 if let Some(next) = gateway.waits.remove(&serial) {
-                    gateway.counter_failed(out);
+                    gateway.counter_was(out, false);
                     next(gateway, out, None);
                 }
             });
@@ -701,7 +684,6 @@
         match answer {
             Counted::Total(total) => {
                 tally.confirmed += amount;
-                tally.total = total;
                 told = Some(total);
                 // A total below the own confirmed part: the counter lost the name. Claim the part anew.
                 if total + 0.01 < tally.confirmed {
@@ -713,10 +695,8 @@
             // May have been added: taken as added, so that a slow counter is not charged twice.
             Counted::MayBeAdded => tally.confirmed += amount.min(0.0),
         }
-        if told.is_some() && now - at <= bound {
-            self.counter_answered(out);
-        } else if told.is_none() {
-            self.counter_failed(out);
+        if told.is_none() || now - at <= bound {
+            self.counter_was(out, told.is_some());
         }
         if let Some(next) = self.waits.remove(&serial) {
             next(self, out, told);
@@ -724,17 +704,13 @@
         self.rouse(out);
     }
 
-    fn counter_failed(&mut self, out: &mut dyn Outward) {
-        self.ask_share = (self.ask_share * ASK_LESS).max(ASK_LEAST);
-        if self.ask_share < 0.3 && !self.crowded {
+    fn counter_was(&mut self, out: &mut dyn Outward, well: bool) {
+        let share = self.ask_share * if well { ASK_MORE } else { ASK_LESS };
+        self.ask_share = share.clamp(ASK_LEAST, 1.0);
+        if !self.crowded && share < 0.3 {
             self.crowded = true;
             out.trace("counter silent, late or crowded: mostly deciding alone on own shares");
-        }
-    }
-
-    fn counter_answered(&mut self, out: &mut dyn Outward) {
-        self.ask_share = (self.ask_share * ASK_MORE).min(1.0);
-        if self.ask_share >= 1.0 && self.crowded {
+        } else if self.crowded && share >= 1.0 {
             self.crowded = false;
             out.trace("counter back: asking for every inquiry");
         }
@@ -752,37 +728,28 @@
         if trial { 1.0 } else { (host.limit * warmth).ceil() }
     }
 
-    /// Room for one more hand-off: at some host, and within the sum of all limits, which may each be below one
-    /// where many gateways share few hosts.
+    /// Hand-offs out, and the sum of all limits, which may each be below one where many gateways share few hosts.
+    fn load(&self) -> (f64, f64) {
+        self.hosts.values().fold((0.0, 0.0), |(out, sum), host| match self.allowed(host) {
+            0.0 => (out, sum),
+            _ => (out + host.out, sum + host.limit * self.warmth(&host.line)),
+        })
+    }
+
     fn any_room(&self) -> bool {
-        let (mut out, mut sum, mut any) = (0.0, 0.0, false);
-        for host in self.hosts.values() {
-            let allowed = self.allowed(host);
-            any |= host.out + 1.0 <= allowed;
-            out += host.out;
-            sum += if allowed > 0.0 { host.limit * self.warmth(&host.line) } else { host.out };
-        }
-        any && out + 1.0 <= sum.max(1.0)
+        let (out, sum) = self.load();
+        out + 1.0 <= sum.max(1.0) && self.hosts.values().any(|h| h.out + 1.0 <= self.allowed(h))
     }
 
-    /// Limit of a host never tried: an even part of what a host of its size is taken to hold at first.
-    fn first_limit(&self, line: &HostLine) -> f64 {
-        let size = if self.terms.sized { line.size.max(0.01) } else { 1.0 };
-        let mean = match self.hosts.len() {
-            0 => size,
-            n => {
-                self.hosts.values().map(|h| if self.terms.sized { h.line.size } else { 1.0 }).sum::<f64>()
-                    / n as f64
-            }
-        };
-        (FIRST_LIMIT * size / mean.max(0.01)).min(3.0 * FIRST_LIMIT) / f64::from(self.terms.gateways)
+    fn size(&self, line: &HostLine) -> f64 {
+        if self.terms.sized { line.size.max(0.01) } else { 1.0 }
     }
 
-    /// Less than a part of the room at all hosts is taken: there is work to spare for.
-    fn idle(&self) -> bool {
-        let (out, room) =
-            self.hosts.values().fold((0.0, 0.0), |sum, h| (sum.0 + h.out, sum.1 + self.allowed(h)));
-        out < room * IDLE
+    /// Limit of a host never tried: an even part of what a host of its size is taken to hold at first.
+    fn first_limit(&self, line: &HostLine) -> f64 {
+        let (sum, count) = self.hosts.values().fold((0.0, 0.0), |s, h| (s.0 + self.size(&h.line), s.1 + 1.0));
+        let size = if sum > 0.0 { (self.size(line) * count / sum).min(3.0) } else { 1.0 };
+        FIRST_LIMIT * size / f64::from(self.terms.gateways.max(1))
     }
 
     /// Weighted rotation among the hosts with room that the inquiry's lane leaves open.
@@ -801,9 +768,11 @@
                 let before = open.sent.iter().any(|s| s.host == id);
                 let live = open.sent.iter().any(|s| s.host == id && s.live);
                 if before == tried && !live && fellow(&host.line) && host.out + 1.0 <= self.allowed(host) {
-                    let size = if self.terms.sized { host.line.size.max(0.01) } else { 1.0 };
                     let success = host.success * host.success;
-                    fit.push((id, size * host.fix * self.warmth(&host.line) * success.max(0.01)));
+                    fit.push((
+                        id,
+                        self.size(&host.line) * host.fix * self.warmth(&host.line) * success.max(0.01),
+                    ));
                 }
             }
             if !fit.is_empty() {
@@ -940,7 +909,7 @@
         to.out += 1.0;
         let patience = self.lanes[open.lane].goal * PATIENCE;
         let next: AfterHandOff = Box::new(move |gateway, out, ended| gateway.after_hand_off(out, id, ended));
-        self.hands.insert((id, nth), Hand { host, at: now, next });
+        self.hands.insert((id, nth), next);
         self.spare = (self.spare + SPARE_STEP).min(SPARE_MOST);
         out.hand_off(id, host, 0.0);
         self.after(patience, Box::new(move |gateway, out| gateway.impatient(out, id, nth)));
@@ -979,13 +948,9 @@
 
     pub fn ended(&mut self, now: f64, out: &mut dyn Outward, ended: Ended) {
         self.now = now;
-        let Some(hand) = self.hands.remove(&(ended.inquiry, ended.nth)) else { return };
-        debug_assert_eq!(hand.host, ended.host);
-        debug_assert!(hand.at <= now);
-        let (units, goal) =
-            self.open.get(&ended.inquiry).map_or((1.0, self.lanes.first().map_or(1.0, |l| l.goal)), |o| {
-                (o.units, self.lanes[o.lane].goal)
-            });
+        let Some(next) = self.hands.remove(&(ended.inquiry, ended.nth)) else { return };
+        let about = self.open.get(&ended.inquiry).map(|o| (o.units, self.lanes[o.lane].goal));
+        let (units, goal) = about.unwrap_or((1.0, self.lanes[0].goal));
         self.note_outcome(out, &ended, units, goal);
         if let Some(open) = self.open.get_mut(&ended.inquiry) {
             if let Some(sent) = open.sent.get_mut(usize::from(ended.nth)) {
@@ -999,7 +964,7 @@
             if ended.over {
                 self.close(out, ended.inquiry);
             } else {
-                (hand.next)(self, out, &ended);
+                next(self, out, &ended);
             }
         }
         self.rouse(out);
@@ -1042,10 +1007,6 @@
 
     // ---- Answers ----------------------------------------------------------------------------------------
 
-    fn push_back_by_quota(&mut self, out: &mut dyn Outward, id: u32, wait: f64) {
-        self.push_back(out, id, wait);
-    }
-
     fn push_back_by_load(&mut self, out: &mut dyn Outward, id: u32) {
         let wait = LOAD_WAIT * (0.5 + self.chance.rand_float());
         self.push_back(out, id, wait);
