Rotation weights are the steered limits; the separate pace is gone

The limit of each host already follows what it was seen to manage; a second figure for pace showed no gain.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -172,8 +172,6 @@
     line: HostLine,
     out: f64,
     limit: f64,
-    fix: f64,
-    pace: f64,
     success: f64,
     strikes: u32,
     heard: f64,
@@ -293,7 +291,6 @@
         self.names.retain(|_, t| t.expires > now || !t.asked.is_empty());
         self.customers.retain(|_, c| c.seen + FORGET > now || c.out > 0.0);
         self.hosts.retain(|_, h| h.line.standing != Standing::Gone || h.out > 0.0);
-        self.reweigh();
         if self.recent.1 >= BEST_OF {
             self.best = (self.best * BEST_FADES).min(self.recent.0 / self.recent.1);
             self.recent = (0.0, 0.0);
@@ -315,8 +312,8 @@
         }
         for line in lines {
             let limit = self.first_limit(line);
-            let (line, fix, success, heard) = (line.clone(), 1.0, 1.0, now);
-            let fresh = Host { line: line.clone(), limit, fix, success, heard, ..Host::default() };
+            let (line, success, heard) = (line.clone(), 1.0, now);
+            let fresh = Host { line: line.clone(), limit, success, heard, ..Host::default() };
             match self.hosts.get_mut(&line.host) {
                 None => drop(self.hosts.insert(line.host, fresh)),
                 Some(host) if line.started > host.line.started => {
@@ -769,10 +766,7 @@
                 let live = open.sent.iter().any(|s| s.host == id && s.live);
                 if before == tried && !live && fellow(&host.line) && host.out + 1.0 <= self.allowed(host) {
                     let success = host.success * host.success;
-                    fit.push((
-                        id,
-                        self.size(&host.line) * host.fix * self.warmth(&host.line) * success.max(0.01),
-                    ));
+                    fit.push((id, host.limit * self.warmth(&host.line) * success.max(0.01)));
                 }
             }
             if !fit.is_empty() {
@@ -793,20 +787,7 @@
         Some(chosen)
     }
 
-    fn reweigh(&mut self) {
-        let paces: Vec<f64> =
-            self.hosts.values().filter(|h| h.pace > 0.0 && h.rests == 0).map(|h| h.pace).collect();
-        if paces.is_empty() {
-            return;
-        }
-        let mean = paces.iter().map(|p| p.ln()).sum::<f64>() / paces.len() as f64;
-        for host in self.hosts.values_mut().filter(|h| h.pace > 0.0) {
-            let step = ((mean - host.pace.ln()) * WEIGHT_STEP).clamp(-0.2, 0.2);
-            host.fix = (host.fix * step.exp()).clamp(0.1, 4.0);
-        }
-    }
-
-    fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, units: f64, goal: f64) {
+    fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, goal: f64) {
         let now = self.now;
         let aim = (self.best * AIM_OVER_BEST).clamp(AIM_LEAST, AIM_MOST);
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
@@ -819,8 +800,6 @@
                 host.strikes = 0;
                 host.rests = 0;
                 host.success += SUCCESS_STEP * (1.0 - host.success);
-                let pace = ended.took / (1.0 + units);
-                host.pace = if host.pace > 0.0 { host.pace + PACE_STEP * (pace - host.pace) } else { pace };
                 host.steer(ended.took / goal, aim);
                 self.recent = (self.recent.0 + (ended.took / goal).min(1.0), self.recent.1 + 1.0);
             }
@@ -949,9 +928,8 @@
     pub fn ended(&mut self, now: f64, out: &mut dyn Outward, ended: Ended) {
         self.now = now;
         let Some(next) = self.hands.remove(&(ended.inquiry, ended.nth)) else { return };
-        let about = self.open.get(&ended.inquiry).map(|o| (o.units, self.lanes[o.lane].goal));
-        let (units, goal) = about.unwrap_or((1.0, self.lanes[0].goal));
-        self.note_outcome(out, &ended, units, goal);
+        let lane = self.open.get(&ended.inquiry).map_or(0, |o| o.lane);
+        self.note_outcome(out, &ended, self.lanes[lane].goal);
         if let Some(open) = self.open.get_mut(&ended.inquiry) {
             if let Some(sent) = open.sent.get_mut(usize::from(ended.nth)) {
                 sent.live = false;
@@ -1110,11 +1088,8 @@
 /// Each hand-off earns this part of a doubted one, saved up to a few: at most a tenth more work.
 const SPARE_STEP: f64 = 0.1;
 const SPARE_MOST: f64 = 10.0;
-/// Averages over about ten and twenty answers.
+/// Average over about ten answers.
 const SUCCESS_STEP: f64 = 0.1;
-const PACE_STEP: f64 = 0.05;
-/// Part of a pace's distance from the mean that a round corrects.
-const WEIGHT_STEP: f64 = 0.1;
 /// Doubted hand-offs in a row that send a host to rest, and its first rest.
 const HOST_STRIKES: u32 = 2;
 const FIRST_REST: f64 = 1.0;
