--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -66,7 +66,8 @@
 
 struct Hall {
     gateways: BTreeMap<u16, Gateway>,
-    fields: BTreeMap<u16, Vec<String>>,
+    /// Per instance: lanes, plans, and the names of the values in a load report.
+    known: BTreeMap<u16, (usize, usize, Vec<String>)>,
     lists: BTreeMap<u8, Vec<HostLine>>,
 }
 
@@ -79,7 +80,7 @@
         let mut load = Load::default();
         for n in 0..count {
             let value = f64::from(record.f32("report")?);
-            match self.fields.get(&who).and_then(|f| f.get(n)).map(String::as_str) {
+            match self.known.get(&who).and_then(|k| k.2.get(n)).map(String::as_str) {
                 Some("busy") => load.util = Some(value),
                 Some("lat_ms") => load.service = Some(value / 1e3),
                 _ => {}
@@ -106,7 +107,7 @@
             let seed = record.u64("rng-seed")?;
             let text = frame.text(&mut record, "facts")?;
             let (terms, fields) = facts::read(&text)?;
-            self.fields.insert(who, fields);
+            self.known.insert(who, (terms.lanes.len(), terms.plans.len(), fields));
             let mut speaker = Speaker { who, now, reply };
             self.gateways.insert(who, Gateway::start(terms, seed, now, &mut speaker));
             return Ok(());
@@ -125,6 +126,7 @@
             None => Load::default(),
         };
         let Some(gateway) = self.gateways.get_mut(&who) else { return Ok(()) };
+        let (lanes, plans) = self.known.get(&who).map_or((0, 0), |k| (k.0, k.1));
         let mut speaker = Speaker { who, now, reply };
         let out = &mut speaker;
         match code {
@@ -148,8 +150,8 @@
             }
             2 => {
                 let id = record.u32("ticket")?;
-                let lane = record.index(gateway.lane_count(), "grade")?;
-                let plan = record.index(gateway.plan_count(), "package")?;
+                let lane = record.index(lanes, "grade")?;
+                let plan = record.index(plans, "package")?;
                 let customer = record.u64("holder")?;
                 let left = f64::from(record.u32("budget-us")?) / 1e6;
                 let units = record.number("cost-units")?;
@@ -178,9 +180,9 @@
                 gateway.probed(now, out, host, well, load);
             }
             8 => {
-                let from = record.u16("src")?;
-                let words = frame.bytes(&mut record, "raw")?;
-                gateway.told(now, out, u32::from(from), words);
+                // The module asks for no words from other gateways, so none are handed on.
+                let _from = record.u16("src")?;
+                frame.bytes(&mut record, "raw")?;
             }
             10 => {
                 let total = record.f32("now-at")?;
@@ -201,7 +203,7 @@
 fn run() -> Result<(), String> {
     let mut input = BufReader::with_capacity(1 << 20, stdin().lock());
     let mut output = BufWriter::with_capacity(1 << 20, stdout().lock());
-    let mut hall = Hall { gateways: BTreeMap::new(), fields: BTreeMap::new(), lists: BTreeMap::new() };
+    let mut hall = Hall { gateways: BTreeMap::new(), known: BTreeMap::new(), lists: BTreeMap::new() };
     std::panic::set_hook(Box::new(|_| {}));
     loop {
         let mut header = Vec::new();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,9 @@
 //! Every decision of archlink. The types and the trait `Outward` stand in `interface.rs`.
 //!
 //! A front makes a `Gateway` with `start` and then calls it with what happens, in order, with its clock:
-//! `list_news`, `arrived`, `ended`, `left`, `counted`, `probed`, `told`, `woken`. Each call acts through the
-//! `Outward` handed in. A gateway shares nothing with others; the same calls give the same actions.
-//! Each inquiry goes `arrived` -> quota (`ask_tier`, `ask_open`) -> `send_on` -> `after_hand_off` -> an answer;
+//! `list_news`, `arrived`, `ended`, `left`, `counted`, `probed`, `woken`. Each call acts through the
+//! `Outward` handed in. A gateway shares nothing with others; the same calls give the same actions. Each
+//! inquiry goes `arrived` -> quota (`ask_tier`, `ask_open`) -> `send_on` -> `after_hand_off` -> an answer;
 //! what comes after a wait is left behind as a closure that is handed the result.
 
 use crate::interface::*;
@@ -11,6 +11,8 @@
 
 type Step = Box<dyn FnOnce(&mut Gateway, &mut dyn Outward)>;
 type AfterCount = Box<dyn FnOnce(&mut Gateway, &mut dyn Outward, Option<f64>)>;
+/// The inquiry that waits for a call's answer, and what it does then.
+type Asker = Option<(u32, AfterCount)>;
 type AfterHandOff = Box<dyn FnOnce(&mut Gateway, &mut dyn Outward, &Ended)>;
 
 /// One row a lane: what may be done again, where, and for how long.
@@ -34,7 +36,7 @@
 }
 
 /// A tier of a plan: at most `limit` units in any `window`; entered ones last `active`, then rest `cooldown`.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tier {
     pub window: f64,
     pub limit: f64,
@@ -42,16 +44,15 @@
     pub cooldown: f64,
 }
 
-/// Share of the rate that the burst tier may use up, and of the burst that it may grant at once. Half the burst
-/// above a window half as long halves the wait for room after a burst; a quarter of the rate lets the tier
-/// come back after two windows. Both are shares, so they fit any plan; docs/design.md has the sum.
+/// Share of the rate that the burst tier may use up, and of the burst that it may grant at once: shares, so
+/// that they fit any plan. Small ones, since what the base tier lacks is missed by customers near their rate.
 const BURST_OF_RATE: f64 = 0.1;
 const BURST_OF_BURST: f64 = 0.25;
 /// Active period of the burst tier over its window: short, so that what it shadows comes back soon.
 const ACTIVE_OF_WINDOW: f64 = 0.25;
 
-/// The tiers of a plan with a rate: the base tier, the burst tier where the largest inquiry fits into it, and a
-/// tier beyond the quota where what is sent on beyond it earns more than it costs.
+/// The tiers of a plan with a rate: the base tier, the burst tier where the largest inquiry fits into it, and
+/// a tier beyond the quota where what is sent on beyond it earns more than it costs.
 pub fn tiers(plan: &PlanTerms, most_units: f64) -> Vec<Tier> {
     if plan.rate <= 0.0 {
         return Vec::new();
@@ -59,18 +60,14 @@
     let (rate, burst) = (plan.rate, plan.burst.max(1e-3));
     let whole = (burst / rate).clamp(MIN_WINDOW, MAX_WINDOW);
     let cycle = BURST_OF_BURST * burst / (BURST_OF_RATE * rate);
-    let active = whole * ACTIVE_OF_WINDOW;
-    let wide = (cycle / 2.0).min(MAX_WINDOW);
+    let (active, wide) = (whole * ACTIVE_OF_WINDOW, (cycle / 2.0).min(MAX_WINDOW));
     let limit = BURST_OF_BURST * burst / (1.0 + active / wide);
-    let mut tiers = Vec::new();
-    if limit >= most_units && cycle <= 2.0 * MAX_WINDOW && burst * (1.0 - BURST_OF_BURST) >= most_units {
-        let base = (1.0 - BURST_OF_BURST) * burst;
+    let lasting = |window, limit| Tier { window, limit, active: f64::INFINITY, cooldown: 0.0 };
+    let mut tiers = vec![lasting(whole, burst.min(rate * whole))];
+    let base = (1.0 - BURST_OF_BURST) * burst;
+    if limit >= most_units && cycle <= 2.0 * MAX_WINDOW && base >= most_units {
         let window = (base / ((1.0 - BURST_OF_RATE) * rate)).clamp(MIN_WINDOW, MAX_WINDOW);
-        tiers.push(Tier { window, limit: base, active: f64::INFINITY, cooldown: 0.0 });
-        tiers.push(Tier { window: wide, limit, active, cooldown: (cycle - active).max(0.0) });
-    } else {
-        let limit = burst.min(rate * whole);
-        tiers.push(Tier { window: whole, limit, active: f64::INFINITY, cooldown: 0.0 });
+        tiers = vec![lasting(window, base), Tier { window: wide, limit, active, cooldown: cycle - active }];
     }
     if plan.over_earns > plan.over_costs {
         tiers.push(Tier { window: whole, limit: burst, active: whole, cooldown: 0.0 });
@@ -81,8 +78,8 @@
 const MAX_WINDOW: f64 = 25.0;
 const MIN_WINDOW: f64 = 0.2;
 
-/// What this gateway holds of one name on the counter. `held` is what it wants to stand there as its own part,
-/// `claimed` what its calls, answered or not, amount to, `confirmed` the answered part of these.
+/// What this gateway holds of one name on the counter. `held` is what it wants to stand there as its own
+/// part, `claimed` what its calls, answered or not, amount to, `confirmed` the answered part of these.
 #[derive(Default)]
 struct Tally {
     expires: f64,
@@ -108,9 +105,10 @@
 }
 
 impl Slide {
-    /// Room in the tier after an add that brought the present window to `total`. Past use drains at the tier's
-    /// own rate: from what was last seen on, or, where that is too long ago, from the closed window alone, as if
-    /// all of it had come at its end. Both are lower bounds of the room, so the better one holds.
+    /// Room in the tier after an add that brought the present window to `total`. Past use drains at the
+    /// tier's own rate: from what was last seen on, or, where that is too long ago, from the closed window
+    /// alone, as if all of it had come at its end. Both are lower bounds of the room, so the better one
+    /// holds.
     fn hear(&mut self, tier: &Tier, index: u64, gone: f64, total: f64, units: f64, now: f64) -> f64 {
         let closed = self.closed.filter(|c| c.0 + 1 == index).map(|c| c.1);
         let kept = closed.map_or(0.0, |closed| (tier.limit - closed).max(0.0));
@@ -145,6 +143,7 @@
     ceiling_at: f64,
 }
 
+#[derive(Default)]
 struct Open {
     lane: usize,
     plan: usize,
@@ -202,7 +201,6 @@
     traced_at: f64,
     ask_share: f64,
     crowded: bool,
-    spare: f64,
 }
 
 /// Between two rounds of the periodic work; a fraction of the shortest thing it watches, a second or so.
@@ -232,7 +230,6 @@
             traced_at: 0.0,
             ask_share: 1.0,
             crowded: false,
-            spare: SPARE_MOST,
             terms,
         };
         if gateway.terms.must_subscribe {
@@ -242,16 +239,6 @@
         gateway
     }
 
-    pub fn lane_count(&self) -> usize {
-        self.lanes.len()
-    }
-
-    pub fn plan_count(&self) -> usize {
-        self.terms.plans.len()
-    }
-
-    // ---- Time -------------------------------------------------------------------------------------------
-
     fn after(&mut self, delay: f64, step: Step) {
         self.serial += 1;
         self.due.insert(((self.now + delay).to_bits(), self.serial), step);
@@ -281,13 +268,18 @@
         }
         if now + 2e-6 >= self.round_at {
             self.round_at = now + ROUND;
-            self.round(out);
+            self.round(now, out);
         }
         self.rouse(out);
     }
 
-    fn round(&mut self, _out: &mut dyn Outward) {
-        let now = self.now;
+    fn round(&mut self, now: f64, out: &mut dyn Outward) {
+        let slot = (now / OPEN_SLOT) as u64;
+        let stale =
+            self.customers.iter().filter(|(_, c)| c.out > 0.0 && c.open_slot != slot).map(|(id, _)| *id);
+        for customer in stale.collect::<Vec<_>>() {
+            self.state_open(out, customer, None);
+        }
         self.names.retain(|_, t| t.expires > now || !t.asked.is_empty());
         self.customers.retain(|_, c| c.seen + FORGET > now || c.out > 0.0);
         self.hosts.retain(|_, h| h.line.standing != Standing::Gone || h.out > 0.0);
@@ -297,8 +289,6 @@
         }
     }
 
-    // ---- The list of hosts ------------------------------------------------------------------------------
-
     pub fn list_news(&mut self, now: f64, out: &mut dyn Outward, news: News, lines: &[HostLine]) {
         self.now = now;
         if news == News::Failed {
@@ -306,20 +296,15 @@
             return self.rouse(out);
         }
         if news != News::Changes {
-            for host in self.hosts.values_mut() {
-                host.line.standing = Standing::Gone;
-            }
+            self.hosts.values_mut().for_each(|h| h.line.standing = Standing::Gone);
         }
+        let limit = FIRST_LIMIT / f64::from(self.terms.gateways.max(1));
         for line in lines {
-            let limit = self.first_limit(line);
             let (line, success, heard) = (line.clone(), 1.0, now);
             let fresh = Host { line: line.clone(), limit, success, heard, ..Host::default() };
             match self.hosts.get_mut(&line.host) {
                 None => drop(self.hosts.insert(line.host, fresh)),
-                Some(host) if line.started > host.line.started => {
-                    let out = host.out;
-                    *host = Host { out, ..fresh };
-                }
+                Some(host) if line.started > host.line.started => *host = Host { out: host.out, ..fresh },
                 Some(host) => host.line = line,
             }
         }
@@ -328,15 +313,16 @@
 
     /// Share of its full capacity that a host has at least, by its age.
     fn warmth(&self, line: &HostLine) -> f64 {
-        let age = self.now - line.started;
-        if line.started <= 0.0 || age >= self.terms.warm_up {
-            return 1.0;
-        }
-        let from = self.terms.cold_from.clamp(0.01, 1.0);
-        from + (1.0 - from) * (age / self.terms.warm_up).clamp(0.0, 1.0)
+        let (age, from) = (self.now - line.started, self.terms.cold_from.clamp(0.01, 1.0));
+        let cold = line.started > 0.0 && age < self.terms.warm_up;
+        if cold { from + (1.0 - from) * (age / self.terms.warm_up).max(0.0) } else { 1.0 }
     }
 
-    // ---- An inquiry's way in ----------------------------------------------------------------------------
+    /// An open inquiry's customer, plan and units.
+    fn about(&self, id: u32) -> (u64, usize, f64) {
+        let open = &self.open[&id];
+        (open.customer, open.plan, open.units)
+    }
 
     pub fn arrived(&mut self, now: f64, out: &mut dyn Outward, inquiry: Inquiry) {
         self.now = now;
@@ -354,10 +340,7 @@
         known.seen = now;
         let until = now + left;
         let count_by = (now + 2.0 * self.wait_bound()).min(until - 0.005);
-        let sent = Vec::new();
-        let open =
-            Open { lane, plan, customer, units, until, count_by, sent, holds_place: false, charged: None };
-        self.open.insert(id, open);
+        self.open.insert(id, Open { lane, plan, customer, units, until, count_by, ..Open::default() });
         if !self.below_ceiling(id, share) {
             self.push_back(out, id, 0.0);
         } else if !self.any_room() {
@@ -368,8 +351,9 @@
         self.rouse(out);
     }
 
-    /// A hard ceiling is kept without the counter: each gateway fills its own even part of it, from nothing at a
-    /// start, since a restart must not grant the stored part twice. Costs an unevenly spread customer some room.
+    /// A hard ceiling is kept without the counter: each gateway fills its own even part of it, from nothing
+    /// at a start, since a restart must not grant the stored part twice. Costs an unevenly spread customer
+    /// some room.
     fn below_ceiling(&mut self, id: u32, share: f64) -> bool {
         let open = &self.open[&id];
         let plan = &self.terms.plans[open.plan];
@@ -383,18 +367,15 @@
         known.ceiling + 1e-9 >= open.units
     }
 
-    /// A plan's cap on hand-offs open at once: each gateway states its own open ones under a name of the present
-    /// slot, so what a dead gateway left behind lapses with the slot.
+    /// A plan's cap on hand-offs open at once: each gateway states its own open ones under a name of the
+    /// present slot, so what a dead gateway left behind lapses with the slot.
     fn ask_open(&mut self, out: &mut dyn Outward, id: u32) {
-        let open = &self.open[&id];
-        let (customer, plan) = (open.customer, open.plan);
+        let (customer, plan, _) = self.about(id);
         let most = self.terms.plans[plan].most_out;
         if most <= 0.0 {
             return self.ask_quota(out, id);
         }
-        if let Some(open) = self.open.get_mut(&id) {
-            open.holds_place = true;
-        }
+        self.open.entry(id).and_modify(|o| o.holds_place = true);
         let Some(known) = self.customers.get_mut(&customer) else { return };
         known.out += 1.0;
         let (mine, share) = (known.out, known.share);
@@ -415,55 +396,41 @@
         next(self, out, None);
     }
 
-    fn state_open(&mut self, out: &mut dyn Outward, customer: u64, next: Option<(u32, AfterCount)>) {
+    fn state_open(&mut self, out: &mut dyn Outward, customer: u64, next: Asker) {
         let slot = (self.now / OPEN_SLOT) as u64;
         let Some(known) = self.customers.get_mut(&customer) else { return };
-        let (mine, restate) = (known.out, known.open_slot != slot);
+        let mine = known.out;
         known.open_slot = slot;
         let name = name(customer, 7, slot);
         self.tally(name, OPEN_SLOT * 2.0).held = mine;
-        if restate {
-            let left = (slot + 1) as f64 * OPEN_SLOT - self.now;
-            let step: Step = Box::new(move |gateway, out| {
-                if gateway.customers.get(&customer).is_some_and(|c| c.out > 0.0) {
-                    gateway.state_open(out, customer, None);
-                }
-            });
-            self.after(left.max(0.0) + 1e-3, step);
-        }
         if next.is_some() || self.may_ask() {
             self.push(out, name, OPEN_SLOT * 2.0, next);
         }
     }
 
     fn ask_quota(&mut self, out: &mut dyn Outward, id: u32) {
-        let open = &self.open[&id];
-        if self.tiers[open.plan].is_empty() {
-            return self.send_on(out, id);
+        let (customer, plan, _) = self.about(id);
+        let (tier, until) = self.customers[&customer].entered;
+        match self.tiers[plan].is_empty() {
+            true => self.send_on(out, id),
+            false => self.ask_tier(out, id, if until > self.now { tier } else { 0 }),
         }
-        let entered = self.customers.get(&open.customer).map_or((0, 0.0), |c| c.entered);
-        let tier = if entered.1 > self.now { entered.0 } else { 0 };
-        self.ask_tier(out, id, tier);
     }
 
     /// The design's question: one add of the inquiry's units to the tier's present window, the closed window
     /// read once and weighted, and read only where the answer hangs on it.
     fn ask_tier(&mut self, out: &mut dyn Outward, id: u32, k: usize) {
         let now = self.now;
-        let open = &self.open[&id];
-        let (customer, units) = (open.customer, open.units);
-        let tier = self.tiers[open.plan][k].clone();
-        let Some(known) = self.customers.get(&customer) else { return };
+        let (customer, plan, units) = self.about(id);
+        let tier = self.tiers[plan][k];
         let (index, gone) = window(customer, &tier, now);
         let (present, keep) = (name(customer, k as u64, index), tier.window * 2.0 + 0.5);
-        let full = known.slides[k].full;
+        let full = self.customers[&customer].slides[k].full;
         if full.0 > now && units >= full.1 {
             return self.beyond(out, id, k, full.0 - now);
         }
         self.tally(present, keep).held += units;
-        if let Some(open) = self.open.get_mut(&id) {
-            open.charged = Some((present, keep));
-        }
+        self.open.entry(id).and_modify(|o| o.charged = Some((present, keep)));
         if !self.may_ask() {
             return self.decide_alone(out, id);
         }
@@ -477,9 +444,8 @@
 
     fn judge(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
         let now = self.now;
-        let open = &self.open[&id];
-        let (customer, units) = (open.customer, open.units);
-        let tier = self.tiers[open.plan][k].clone();
+        let (customer, plan, units) = self.about(id);
+        let tier = self.tiers[plan][k];
         let Some(known) = self.customers.get_mut(&customer) else { return };
         let slide = &mut known.slides[k];
         let before = *slide;
@@ -501,9 +467,8 @@
     }
 
     fn read_closed(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
-        let open = &self.open[&id];
-        let customer = open.customer;
-        let keep = self.tiers[open.plan][k].window * 2.0 + 0.5;
+        let (customer, plan, _) = self.about(id);
+        let keep = self.tiers[plan][k].window * 2.0 + 0.5;
         let before = name(customer, k as u64, index.wrapping_sub(1));
         let next: AfterCount = Box::new(move |gateway, out, read| {
             let mine = gateway.names.get(&before).map_or(0.0, |t| t.held);
@@ -538,17 +503,11 @@
 
     /// Past tier `k`: into the next tier that is in force or free to enter; pushed back where none is left.
     fn beyond(&mut self, out: &mut dyn Outward, id: u32, k: usize, wait: f64) {
-        let open = &self.open[&id];
-        let customer = open.customer;
+        let (customer, plan, _) = self.about(id);
         let next_tier = k + 1;
-        let Some(tier) = self.tiers[open.plan].get(next_tier).cloned() else {
-            return self.push_back(out, id, wait);
-        };
-        // What is beyond the quota waits for spare room: it must not take the place of what is inside.
-        let (load, room) = self.load();
-        let soft = tier.cooldown <= 0.0 && load > room * IDLE;
+        let Some(&tier) = self.tiers[plan].get(next_tier) else { return self.push_back(out, id, wait) };
         let known = &self.customers[&customer];
-        if soft || known.taken_until[next_tier] > self.now || !self.may_ask() {
+        if known.taken_until[next_tier] > self.now || !self.may_ask() {
             return self.beyond(out, id, next_tier, wait);
         }
         let name = |what: u64| name(customer, what + next_tier as u64, 0);
@@ -592,26 +551,18 @@
     }
 
     /// A mark is a name of its own: 1 sets it, 0 reads it; what was known of it before does not count.
-    fn mark(
-        &mut self,
-        out: &mut dyn Outward,
-        name: u64,
-        keep: f64,
-        add: f64,
-        next: Option<(u32, AfterCount)>,
-    ) {
+    fn mark(&mut self, out: &mut dyn Outward, name: u64, keep: f64, add: f64, next: Asker) {
         let tally = self.tally(name, keep);
         (tally.held, tally.claimed, tally.confirmed) = (add, 0.0, f64::NEG_INFINITY);
         self.push(out, name, keep, next);
     }
 
-    /// Without the counter a gateway goes by the room it last saw: it drains on, and each own inquiry is taken to
-    /// stand for the others' too, by the share of the customer's use that comes through here.
+    /// Without the counter a gateway goes by the room it last saw: it drains on, and each own inquiry is
+    /// taken to stand for the others' too, by the share of the customer's use that comes through here.
     fn decide_alone(&mut self, out: &mut dyn Outward, id: u32) {
         let now = self.now;
-        let open = &self.open[&id];
-        let (customer, units) = (open.customer, open.units);
-        let (burst, rate) = (self.terms.plans[open.plan].burst, self.terms.plans[open.plan].rate);
+        let (customer, plan, units) = self.about(id);
+        let (burst, rate) = (self.terms.plans[plan].burst, self.terms.plans[plan].rate);
         let Some(known) = self.customers.get_mut(&customer) else { return };
         let cost = (units / known.share.max(0.01)).min(burst.max(units));
         let slide = &mut known.slides[0];
@@ -625,16 +576,15 @@
         self.push_back(out, id, wait);
     }
 
-    // ---- The counter ------------------------------------------------------------------------------------
-
     fn tally(&mut self, name: u64, keep: f64) -> &mut Tally {
-        let expires = self.now + keep;
-        self.names.entry(name).or_insert_with(|| Tally { expires, ..Tally::default() })
+        let fresh = Tally { expires: self.now + keep, ..Tally::default() };
+        self.names.entry(name).or_insert(fresh)
     }
 
-    /// While the counter answers in time every inquiry asks it. Unanswered, late and turned-away calls lower the
-    /// part that asks, answers raise it: a silent counter is tried by a few, a crowded one is not crowded further,
-    /// and one that comes back is eased into. What was not told goes along with the next add to its name.
+    /// While the counter answers in time every inquiry asks it. Unanswered, late and turned-away calls lower
+    /// the part that asks, answers raise it: a silent counter is tried by a few, a crowded one is not crowded
+    /// further, and one that comes back is eased into. What was not told goes along with the next add to its
+    /// name.
     fn may_ask(&mut self) -> bool {
         self.terms.may_count && (self.ask_share >= 1.0 || self.chance.rand_float() < self.ask_share)
     }
@@ -646,7 +596,7 @@
     }
 
     /// Brings the counter to what is held: one add of what was not claimed yet.
-    fn push(&mut self, out: &mut dyn Outward, name: u64, keep: f64, next: Option<(u32, AfterCount)>) {
+    fn push(&mut self, out: &mut dyn Outward, name: u64, keep: f64, next: Asker) {
         if !self.terms.may_count {
             return;
         }
@@ -660,8 +610,7 @@
         if let Some((id, next)) = next {
             self.waits.insert(serial, next);
             // All waits of an inquiry together stay within its own bound, short as its client's time may be.
-            let by = self.open.get(&id).map_or(now, |o| o.count_by);
-            let wait = (by - now).clamp(0.0, self.wait_bound());
+            let wait = self.open.get(&id).map_or(0.0, |o| o.count_by - now).clamp(0.0, self.wait_bound());
             let lapse: Step = Box::new(move |gateway, out| {
                 if let Some(next) = gateway.waits.remove(&serial) {
                     gateway.counter_was(out, false);
@@ -677,11 +626,10 @@
         let bound = self.wait_bound();
         let Some(tally) = self.names.get_mut(&name) else { return };
         let Some((serial, amount, at)) = tally.asked.pop_front() else { return };
-        let mut told = None;
+        let told = if let Counted::Total(total) = answer { Some(total) } else { None };
         match answer {
             Counted::Total(total) => {
                 tally.confirmed += amount;
-                told = Some(total);
                 // A total below the own confirmed part: the counter lost the name. Claim the part anew.
                 if total + 0.01 < tally.confirmed {
                     tally.claimed -= tally.confirmed - total;
@@ -713,40 +661,20 @@
         }
     }
 
-    // ---- Hosts ------------------------------------------------------------------------------------------
-
     /// Most hand-offs that this gateway keeps out at a host now.
     fn allowed(&self, host: &Host) -> f64 {
         if host.line.standing != Standing::Ready || host.rest_until > self.now {
             return 0.0;
         }
-        let trial = host.rests > 0;
-        let warmth = self.warmth(&host.line);
-        if trial { 1.0 } else { (host.limit * warmth).ceil() }
-    }
-
-    /// Hand-offs out, and the sum of all limits, which may each be below one where many gateways share few hosts.
-    fn load(&self) -> (f64, f64) {
-        self.hosts.values().fold((0.0, 0.0), |(out, sum), host| match self.allowed(host) {
-            0.0 => (out, sum),
-            _ => (out + host.out, sum + host.limit * self.warmth(&host.line)),
-        })
+        if host.rests > 0 { 1.0 } else { (host.limit * self.warmth(&host.line)).ceil() }
     }
 
+    /// Room at some host and within the sum of all limits, each of which may be below one among many gateways.
     fn any_room(&self) -> bool {
-        let (out, sum) = self.load();
-        out + 1.0 <= sum.max(1.0) && self.hosts.values().any(|h| h.out + 1.0 <= self.allowed(h))
-    }
-
-    fn size(&self, line: &HostLine) -> f64 {
-        if self.terms.sized { line.size.max(0.01) } else { 1.0 }
-    }
-
-    /// Limit of a host never tried: an even part of what a host of its size is taken to hold at first.
-    fn first_limit(&self, line: &HostLine) -> f64 {
-        let (sum, count) = self.hosts.values().fold((0.0, 0.0), |s, h| (s.0 + self.size(&h.line), s.1 + 1.0));
-        let size = if sum > 0.0 { (self.size(line) * count / sum).min(3.0) } else { 1.0 };
-        FIRST_LIMIT * size / f64::from(self.terms.gateways.max(1))
+        let here = self.hosts.values().map(|h| (h.out, h.limit * self.warmth(&h.line), self.allowed(h)));
+        let usable = here.filter(|h| h.2 > 0.0);
+        let sum = usable.fold((0.0, 0.0, false), |s, h| (s.0 + h.0, s.1 + h.1, s.2 || h.0 + 1.0 <= h.2));
+        sum.2 && sum.0 + 1.0 <= sum.1.max(1.0)
     }
 
     /// Weighted rotation among the hosts with room that the inquiry's lane leaves open.
@@ -759,23 +687,19 @@
             (Some(sent), Group::Zone) => sent.zone == line.zone,
             (Some(sent), Group::Cell) => sent.cell == line.cell,
         };
-        let mut fit: Vec<(HostId, f64)> = Vec::new();
-        for tried in [false, true] {
-            for (&id, host) in &self.hosts {
-                let before = open.sent.iter().any(|s| s.host == id);
-                let live = open.sent.iter().any(|s| s.host == id && s.live);
-                if before == tried && !live && fellow(&host.line) && host.out + 1.0 <= self.allowed(host) {
-                    let success = host.success * host.success;
-                    fit.push((id, host.limit * self.warmth(&host.line) * success.max(0.01)));
-                }
-            }
-            if !fit.is_empty() {
-                break;
+        let mut fit: Vec<(HostId, f64, bool)> = Vec::new();
+        for (&id, host) in self.hosts.iter().filter(|(_, h)| h.out + 1.0 <= self.allowed(h)) {
+            let tried = open.sent.iter().any(|s| s.host == id);
+            if fellow(&host.line) && !open.sent.iter().any(|s| s.host == id && s.live) {
+                let success = (host.success * host.success).max(0.01);
+                fit.push((id, host.limit * self.warmth(&host.line) * success, tried));
             }
         }
+        let untried = fit.iter().any(|f| !f.2);
+        fit.retain(|f| !(untried && f.2));
         let sum: f64 = fit.iter().map(|f| f.1).sum();
         let mut best: Option<(HostId, f64)> = None;
-        for (id, weight) in fit {
+        for (id, weight, _) in fit {
             let host = self.hosts.get_mut(&id)?;
             host.credit = (host.credit + weight / sum).min(2.0);
             if best.is_none_or(|b| host.credit > b.1) {
@@ -788,20 +712,19 @@
     }
 
     fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, goal: f64) {
-        let now = self.now;
+        let (now, part) = (self.now, (ended.took / goal).min(1.0));
         let aim = (self.best * AIM_OVER_BEST).clamp(AIM_LEAST, AIM_MOST);
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
         host.out = (host.out - 1.0).max(0.0);
-        if [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome) {
-            host.heard = now;
-        }
+        let answered = [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome);
+        host.heard = if answered { now } else { host.heard };
         match ended.outcome {
             Outcome::Honoured => {
                 host.strikes = 0;
                 host.rests = 0;
                 host.success += SUCCESS_STEP * (1.0 - host.success);
-                host.steer(ended.took / goal, aim);
-                self.recent = (self.recent.0 + (ended.took / goal).min(1.0), self.recent.1 + 1.0);
+                host.steer(part, aim);
+                self.recent = (self.recent.0 + part, self.recent.1 + 1.0);
             }
             Outcome::Error => host.success += SUCCESS_STEP * (0.0 - host.success),
             Outcome::Full => {
@@ -811,21 +734,22 @@
             Outcome::TimedOut | Outcome::Cancelled => {
                 host.strikes += 1;
                 host.steer(1.0, aim);
-                if host.strikes >= HOST_STRIKES {
-                    self.rest(out, ended.host);
-                }
             }
-            Outcome::ConnectFailed | Outcome::Reset => self.rest(out, ended.host),
+            Outcome::ConnectFailed | Outcome::Reset => host.strikes = HOST_STRIKES,
             Outcome::NeverSent => {}
         }
+        if host.strikes >= HOST_STRIKES {
+            self.rest(out, ended.host);
+        }
     }
 
-    /// A rest is over: where probes are allowed one asks whether the process runs before an inquiry is risked.
-    /// Guards against inquiries spent on hosts that stay dead or cut off; a host that runs but is slow passes.
+    /// A rest is over: where probes are allowed one asks whether the process runs before an inquiry is
+    /// risked. Guards against inquiries spent on hosts that stay dead or cut off; a host that runs but is
+    /// slow passes.
     fn rest(&mut self, out: &mut dyn Outward, id: HostId) {
         let now = self.now;
         let Some(host) = self.hosts.get_mut(&id) else { return };
-        if host.rest_until > now && host.rest_until.is_finite() {
+        if host.rest_until > now {
             return;
         }
         host.rests += 1;
@@ -841,9 +765,9 @@
             });
             self.after(length, step);
         }
-        let resting = self.hosts.values().filter(|h| h.rests > 0).count();
         if now > self.traced_at + TRACE_EVERY {
             self.traced_at = now;
+            let resting = self.hosts.values().filter(|h| h.rests > 0).count();
             out.trace(&format!("{resting} of {} hosts rest: unreachable or silent", self.hosts.len()));
         }
     }
@@ -859,23 +783,14 @@
         self.rouse(out);
     }
 
-    pub fn told(&mut self, now: f64, _out: &mut dyn Outward, _from: u32, _words: &[u8]) {
-        self.now = now;
-    }
-
-    // ---- Hand-offs --------------------------------------------------------------------------------------
-
     /// The quota is granted: the first hand-off, or back with what it took where no host has room.
     fn send_on(&mut self, out: &mut dyn Outward, id: u32) {
         let Some(host) = self.pick(id) else {
             self.take_back(out, id);
             return self.push_back_by_load(out, id);
         };
-        let open = &self.open[&id];
-        let (customer, units) = (open.customer, open.units);
-        if let Some(known) = self.customers.get_mut(&customer) {
-            known.ceiling -= units;
-        }
+        let (customer, _, units) = self.about(id);
+        self.customers.entry(customer).and_modify(|c| c.ceiling -= units);
         self.hand_off(out, id, host);
     }
 
@@ -883,36 +798,33 @@
         let now = self.now;
         let (Some(open), Some(to)) = (self.open.get_mut(&id), self.hosts.get_mut(&host)) else { return };
         let nth = open.sent.len() as u16;
-        let (zone, cell) = (to.line.zone, to.line.cell);
+        let HostLine { zone, cell, .. } = to.line;
         open.sent.push(Sent { host, zone, cell, at: now, live: true, may_have_run: true });
         to.out += 1.0;
         let patience = self.lanes[open.lane].goal * PATIENCE;
-        let next: AfterHandOff = Box::new(move |gateway, out, ended| gateway.after_hand_off(out, id, ended));
-        self.hands.insert((id, nth), next);
-        self.spare = (self.spare + SPARE_STEP).min(SPARE_MOST);
+        self.hands.insert((id, nth), Box::new(move |gateway, out, how| gateway.after_hand_off(out, id, how)));
         out.hand_off(id, host, 0.0);
         self.after(patience, Box::new(move |gateway, out| gateway.impatient(out, id, nth)));
     }
 
     /// A hand-off is out for long: try elsewhere, where the lane allows it and spare hand-offs are left.
     fn impatient(&mut self, out: &mut dyn Outward, id: u32, nth: u16) {
-        if !self.hands.contains_key(&(id, nth)) || self.spare < 1.0 || !self.may_repeat(id) {
+        if !self.hands.contains_key(&(id, nth)) || !self.may_repeat(id) {
             return;
         }
         let Some(open) = self.open.get(&id) else { return };
         let Some(sent) = open.sent.get(usize::from(nth)) else { return };
-        // A host that has answered others since is only busy, or the inquiry is long: both are worse off by a copy.
+        // A host that has answered others since is only busy, or the inquiry is long: both are worse off by a
+        // copy.
         let busy = self.hosts.get(&sent.host).is_some_and(|h| h.heard > sent.at);
         if busy || open.sent.len() != usize::from(nth) + 1 || open.until - self.now < 0.1 {
             return;
         }
         if self.terms.second_copies {
             if let Some(host) = self.pick(id) {
-                self.spare -= 1.0;
                 self.hand_off(out, id, host);
             }
         } else if self.terms.may_cancel && self.any_room() {
-            self.spare -= 1.0;
             out.cancel(id, nth);
         }
     }
@@ -936,8 +848,12 @@
                 let proven = [Outcome::Full, Outcome::ConnectFailed, Outcome::NeverSent];
                 sent.may_have_run = !proven.contains(&ended.outcome);
             }
-            if ended.true_units > 0.0 && self.terms.settles {
-                self.settle(ended.inquiry, ended.true_units);
+            // True units: the difference goes to the window that took the guess, with its next add.
+            let settled = self.terms.settles && ended.true_units > 0.0;
+            if let Some((name, keep)) = open.charged.filter(|_| settled) {
+                let more = ended.true_units - open.units;
+                self.customers.entry(open.customer).and_modify(|c| c.slides[0].room -= more);
+                self.tally(name, keep).held += more;
             }
             if ended.over {
                 self.close(out, ended.inquiry);
@@ -948,18 +864,6 @@
         self.rouse(out);
     }
 
-    /// The true units are known: the difference goes to the window that took the guess, with its next add.
-    fn settle(&mut self, id: u32, true_units: f64) {
-        let Some(open) = self.open.get(&id) else { return };
-        let more = true_units - open.units;
-        if let Some(known) = self.customers.get_mut(&open.customer) {
-            known.slides[0].room -= more;
-        }
-        if let Some((name, keep)) = open.charged {
-            self.tally(name, keep).held += more;
-        }
-    }
-
     fn after_hand_off(&mut self, out: &mut dyn Outward, id: u32, ended: &Ended) {
         let Some(open) = self.open.get(&id) else { return };
         if open.until <= self.now + 1e-3 {
@@ -983,8 +887,6 @@
         self.rouse(out);
     }
 
-    // ---- Answers ----------------------------------------------------------------------------------------
-
     fn push_back_by_load(&mut self, out: &mut dyn Outward, id: u32) {
         let wait = LOAD_WAIT * (0.5 + self.chance.rand_float());
         self.push_back(out, id, wait);
@@ -1017,9 +919,7 @@
             }
         }
         if open.holds_place {
-            if let Some(known) = self.customers.get_mut(&open.customer) {
-                known.out = (known.out - 1.0).max(0.0);
-            }
+            self.customers.entry(open.customer).and_modify(|c| c.out = (c.out - 1.0).max(0.0));
             self.state_open(out, open.customer, None);
         }
     }
@@ -1028,8 +928,8 @@
 impl Host {
     /// Moves the limit so that answers take `aim` of the goal time on average: less when they are slower,
     /// whatever slows them, more when they are quicker and the limit is what holds work back.
-    fn steer(&mut self, part_of_goal: f64, aim: f64) {
-        let off = 1.0 - part_of_goal.min(1.0) / aim;
+    fn steer(&mut self, part: f64, aim: f64) {
+        let off = 1.0 - part / aim;
         if off < 0.0 || self.out + 2.0 > self.limit {
             self.limit = (self.limit * (1.0 + STEER * off)).clamp(LEAST_LIMIT, MOST_LIMIT);
         }
@@ -1045,8 +945,8 @@
     x ^ (x >> 31)
 }
 
-/// The number of the tier's present window and the part of it that is gone. Customers' windows start apart, so
-/// that they do not all turn at once.
+/// The number of the tier's present window and the part of it that is gone. Customers' windows start apart,
+/// so that they do not all turn at once.
 fn window(customer: u64, tier: &Tier, now: f64) -> (u64, f64) {
     let turns = now / tier.window + (customer.wrapping_mul(0x9e37_79b9) % 1024) as f64 / 1024.0;
     (turns as u64, turns.fract())
@@ -1064,19 +964,20 @@
 const RECHECK: f64 = 0.25;
 /// How far one closed window moves the share: a few windows settle it.
 const SHARE_STEP: f64 = 0.5;
-/// Part of the inquiries that ask the counter: cut at each failed call, raised at each answer in time. Even when
-/// one call in five fails the part stays high; a silent counter brings it to the least within some ten calls, and
-/// the least still tries several times a second.
+/// Part of the inquiries that ask the counter: cut at each failed call, raised at each answer in time. Even
+/// when one call in five fails the part stays high; a silent counter brings it to the least within some ten
+/// calls, and the least still tries several times a second.
 const ASK_LESS: f64 = 0.8;
 const ASK_MORE: f64 = 1.05;
 const ASK_LEAST: f64 = 0.05;
-/// Hand-offs that all gateways together keep out at a host at first; each takes an even part and goes on from there.
-/// Enough to keep a few cores busy. At the least a gateway keeps one out at every tenth host, to see it recover.
+/// Hand-offs that all gateways together keep out at a host at first; each takes an even part and goes on from
+/// there. Enough to keep a few cores busy. At the least a gateway keeps one out at every tenth host, to see
+/// it recover.
 const FIRST_LIMIT: f64 = 9.0;
 const LEAST_LIMIT: f64 = 0.1;
 const MOST_LIMIT: f64 = 64.0;
-/// Mean time of an answer as a part of its goal time: a little over the best mean of some fifty answers of late,
-/// which tells what hosts need when little waits; no longer than leaves most answers in time.
+/// Mean time of an answer as a part of its goal time: a little over the best mean of some fifty answers of
+/// late, which tells what hosts need when little waits; no longer than leaves most answers in time.
 const AIM_OVER_BEST: f64 = 1.8;
 const AIM_LEAST: f64 = 0.05;
 const AIM_MOST: f64 = 0.22;
@@ -1085,9 +986,6 @@
 const STEER: f64 = 0.05;
 /// Part of the goal time after which a hand-off is doubted: time for a second one is left.
 const PATIENCE: f64 = 0.55;
-/// Each hand-off earns this part of a doubted one, saved up to a few: at most a tenth more work.
-const SPARE_STEP: f64 = 0.1;
-const SPARE_MOST: f64 = 10.0;
 /// Average over about ten answers.
 const SUCCESS_STEP: f64 = 0.1;
 /// Doubted hand-offs in a row that send a host to rest, and its first rest.
@@ -1097,5 +995,3 @@
 const TRACE_EVERY: f64 = 5.0;
 /// Advice under overload, in seconds around which chance spreads it.
 const LOAD_WAIT: f64 = 0.4;
-/// Part of the room at the hosts below which they count as idle: half, so that a burst still finds room.
-const IDLE: f64 = 0.4;
