--- a/src/logic.rs
+++ b/src/logic.rs
@@ -469,7 +469,7 @@
     fn read_closed(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
         let (customer, plan, _) = self.about(id);
         let keep = self.tiers[plan][k].window * 2.0 + 0.5;
-        let before = name(customer, k as u64, index.wrapping_sub(1));
+        let before = name(customer, k as u64, index - 1);
         let next: AfterCount = Box::new(move |gateway, out, read| {
             let mine = gateway.names.get(&before).map_or(0.0, |t| t.held);
             let Some(known) = gateway.customers.get_mut(&customer) else { return };
@@ -479,7 +479,7 @@
                 Some(read) if read + 0.01 >= mine => read,
                 _ => mine / share,
             };
-            known.slides[k].closed = Some((index.wrapping_sub(1), closed));
+            known.slides[k].closed = Some((index - 1, closed));
             if closed > 0.0 && mine > 0.0 {
                 known.share += SHARE_STEP * ((mine / closed).min(1.0) - share);
             }
@@ -785,7 +785,9 @@
 
     /// The quota is granted: the first hand-off, or back with what it took where no host has room.
     fn send_on(&mut self, out: &mut dyn Outward, id: u32) {
-        let Some(host) = self.pick(id) else {
+        // A client about to leave gets its answer at once: nothing may be sent after its time.
+        let in_time = self.open[&id].until > self.now + 1e-3;
+        let Some(host) = self.pick(id).filter(|_| in_time) else {
             self.take_back(out, id);
             return self.push_back_by_load(out, id);
         };
@@ -949,7 +951,7 @@
 /// so that they do not all turn at once.
 fn window(customer: u64, tier: &Tier, now: f64) -> (u64, f64) {
     let turns = now / tier.window + (customer.wrapping_mul(0x9e37_79b9) % 1024) as f64 / 1024.0;
-    (turns as u64, turns.fract())
+    (turns as u64 + 1, turns.fract())
 }
 
 /// A customer not seen for this long is new again: longer than any window, tier or name lives.
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,165 @@
+//! Generated runs of the module beside the plain model of the rules; seeded, so that the verdict never varies.
+
+mod world;
+
+use archlink::interface::*;
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use world::{World, line, terms};
+
+#[derive(Clone, Debug)]
+enum Deed {
+    Arrive { lane: usize, plan: usize, customer: u64, units: f64, left: f64 },
+    End { which: usize, outcome: Outcome },
+    Count { which: usize, well: Option<bool> },
+    Pass(f64),
+    List { n: u64, standing: Standing, fresh: bool },
+    Probed { well: bool },
+    Leave { which: usize },
+    EmptyCounter,
+}
+
+impl Arbitrary for Deed {
+    fn arbitrary(g: &mut Gen) -> Deed {
+        use Outcome::*;
+        let which = usize::arbitrary(g);
+        let outcomes =
+            [Honoured, Honoured, Honoured, Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, NeverSent];
+        let standings = [Standing::Ready, Standing::Ready, Standing::Draining, Standing::Gone];
+        match u8::arbitrary(g) % 16 {
+            0..=4 => Deed::Arrive {
+                lane: which % 4,
+                plan: *g.choose(&[0, 0, 1, 2, 3]).unwrap(),
+                customer: u64::arbitrary(g) % 3,
+                units: f64::from(u8::arbitrary(g) % 4 + 1),
+                left: *g.choose(&[0.0, 0.002, 0.03, 0.5, 2.5]).unwrap(),
+            },
+            5..=8 => Deed::End { which, outcome: *g.choose(&outcomes).unwrap() },
+            9..=11 => {
+                Deed::Count { which, well: *g.choose(&[Some(true), Some(true), Some(false), None]).unwrap() }
+            }
+            12 | 13 => Deed::Pass(*g.choose(&[0.004, 0.02, 0.3, 3.0]).unwrap()),
+            14 => Deed::List {
+                n: which as u64 % 7,
+                standing: *g.choose(&standings).unwrap(),
+                fresh: bool::arbitrary(g),
+            },
+            _ => match which % 3 {
+                0 => Deed::Probed { well: bool::arbitrary(g) },
+                1 => Deed::Leave { which: usize::arbitrary(g) },
+                _ => Deed::EmptyCounter,
+            },
+        }
+    }
+}
+
+fn act(world: &mut World, deed: &Deed) {
+    match *deed {
+        Deed::Arrive { lane, plan, customer, units, left } => {
+            world.arrive(lane, plan, customer + 10 * plan as u64, units, left);
+        }
+        Deed::End { which, outcome } => {
+            let live: Vec<(u32, usize)> = (world.rules.taken.iter())
+                .flat_map(|(id, t)| t.hand_offs.iter().enumerate().map(move |(n, h)| (*id, n, h)))
+                .filter(|(_, _, h)| h.ended.is_none())
+                .map(|(id, n, _)| (id, n))
+                .collect();
+            if let Some(&(id, nth)) = live.get(which % live.len().max(1)) {
+                world.end(id, nth, outcome);
+            }
+        }
+        Deed::Count { which, well } => {
+            let names: Vec<u64> =
+                world.rules.calls.iter().filter(|c| !c.1.is_empty()).map(|c| *c.0).collect();
+            if let Some(&name) = names.get(which % names.len().max(1)) {
+                world.count(name, well);
+            }
+        }
+        Deed::Pass(seconds) => world.pass(seconds),
+        Deed::List { n, standing, fresh } => {
+            let started = if fresh { world.rules.now } else { 0.0 };
+            world.list(News::Changes, &[line(n, standing, started)]);
+        }
+        Deed::Probed { well } => {
+            if let Some(host) = world.rules.probes.pop() {
+                world.gateway.probed(world.rules.now, &mut world.rules, host, well, Load::default());
+            }
+        }
+        Deed::Leave { which } => {
+            let open = |t: &&world::Taken| t.answer.is_none();
+            let ids: Vec<u32> = world.rules.taken.values().filter(open).map(|t| t.inquiry.id).collect();
+            if let Some(id) = ids.get(which % ids.len().max(1)) {
+                world.rules.taken.entry(*id).and_modify(|t| t.answer = Some(world::Answer::Left));
+                world.gateway.left(world.rules.now, &mut world.rules, *id);
+            }
+        }
+        Deed::EmptyCounter => world.totals.clear(),
+    }
+}
+
+fn run(terms: Terms, deeds: &[Deed]) -> Vec<String> {
+    let mut world = World::new(terms, 5);
+    for deed in deeds {
+        act(&mut world, deed);
+    }
+    world.pass(4.0);
+    world.rules.broken
+}
+
+fn check(seed: u64, property: fn(Vec<Deed>) -> TestResult) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(150, seed)).tests(250).quickcheck(property);
+}
+
+fn verdict(terms: Terms, deeds: Vec<Deed>) -> TestResult {
+    let broken = run(terms, &deeds);
+    if broken.is_empty() { TestResult::passed() } else { TestResult::error(broken.join("; ")) }
+}
+
+fn terms_copies() -> Terms {
+    Terms { second_copies: true, drain_grace: 0.0, gateways: 9, ..terms() }
+}
+
+fn terms_bare() -> Terms {
+    let bare = Terms { may_count: false, may_cancel: false, may_probe: false, may_advise: false, ..terms() };
+    Terms { gateways: 1, most_hand_offs: 1, ..bare }
+}
+
+/// Contradictions and zeros: nothing may panic, divide by 0 or wait for ever.
+fn terms_odd() -> Terms {
+    let odd = Terms { cold_from: 3.0, warm_up: 0.0, count_timeout: 0.0, most_units: 0.0, ..terms() };
+    let mut odd = Terms { gateways: 0, drain_grace: 0.0, tip_multiple: 0.0, tip_for: 0.0, ..odd };
+    odd.lanes.iter_mut().for_each(|l| l.goal = 0.0);
+    odd.plans[0].burst = 0.0;
+    odd.plans[3].rate = 1e-9;
+    odd
+}
+
+#[test]
+fn rules_hold_beside_the_model() {
+    check(1, |deeds| verdict(terms(), deeds));
+}
+
+#[test]
+fn rules_hold_with_second_copies_and_no_grace() {
+    check(2, |deeds| verdict(terms_copies(), deeds));
+}
+
+#[test]
+fn rules_hold_without_counter_probes_and_cancels() {
+    check(3, |deeds| verdict(terms_bare(), deeds));
+}
+
+#[test]
+fn rules_hold_under_contradicting_terms() {
+    check(4, |deeds| verdict(terms_odd(), deeds));
+}
+
+#[test]
+fn same_events_same_actions() {
+    let deeds: Vec<Deed> = Vec::arbitrary(&mut Gen::from_size_and_seed(400, 5));
+    let told = |deeds: &[Deed]| {
+        let mut world = World::new(terms(), 5);
+        deeds.iter().for_each(|deed| act(&mut world, deed));
+        format!("{:?} {:?}", world.rules.taken, world.rules.calls)
+    };
+    assert_eq!(told(&deeds), told(&deeds));
+}
