--- a/src/logic.rs
+++ b/src/logic.rs
@@ -198,8 +198,6 @@
     /// Sum and number of recent answers' parts of the goal time, and the best mean of late.
     recent: (f64, f64),
     best: f64,
-    /// Mean of the hosts' own service times, without waiting, as a part of the goal time; 0 where none is told.
-    service: f64,
     traced_at: f64,
     ask_share: f64,
     crowded: bool,
@@ -229,7 +227,6 @@
             round_at: now + ROUND,
             recent: (0.0, 0.0),
             best: 1.0,
-            service: 0.0,
             traced_at: 0.0,
             ask_share: 1.0,
             crowded: false,
@@ -716,11 +713,7 @@
 
     fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, goal: f64) {
         let (now, part) = (self.now, (ended.took / goal).min(1.0));
-        if let Some(service) = ended.load.service.filter(|s| s.is_finite() && *s > 0.0) {
-            self.service += SERVICE_STEP * ((service / goal).min(1.0) - self.service);
-        }
-        let needed = (self.service * AIM_OVER_SERVICE).min(2.0 * AIM_MOST);
-        let aim = (self.best * AIM_OVER_BEST).min(AIM_MOST).max(needed).max(1e-3);
+        let aim = (self.best * AIM_OVER_BEST).clamp(AIM_LEAST, AIM_MOST);
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
         host.out = (host.out - 1.0).max(0.0);
         let answered = [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome);
@@ -938,7 +931,7 @@
     /// Moves the limit so that answers take `aim` of the goal time on average: less when they are slower,
     /// whatever slows them, more when they are quicker and the limit is what holds work back.
     fn steer(&mut self, part: f64, aim: f64) {
-        let off = 1.0 - part / aim;
+        let off = 1.0 - (part / aim).min(OUTLIER);
         if off < 0.0 || self.out + 2.0 > self.limit {
             self.limit = (self.limit * (1.0 + STEER * off)).clamp(LEAST_LIMIT, MOST_LIMIT);
         }
@@ -988,13 +981,13 @@
 /// Mean time of an answer as a part of its goal time: a little over the best mean of some fifty answers of
 /// late, which tells what hosts need when little waits; no longer than leaves most answers in time.
 const AIM_OVER_BEST: f64 = 1.8;
+const AIM_LEAST: f64 = 0.05;
 const AIM_MOST: f64 = 0.22;
-/// Never less than the service alone takes and half of it again: less would starve hosts whose work is long.
-const AIM_OVER_SERVICE: f64 = 1.5;
-const SERVICE_STEP: f64 = 0.02;
 const BEST_OF: f64 = 50.0;
 const BEST_FADES: f64 = 1.01;
 const STEER: f64 = 0.05;
+/// No answer counts for more than this many times the aim: a few very long inquiries must not starve a host.
+const OUTLIER: f64 = 3.0;
 /// Part of the goal time after which a hand-off is doubted: time for a second one is left.
 const PATIENCE: f64 = 0.55;
 /// Average over about ten answers.
