--- a/src/logic.rs
+++ b/src/logic.rs
@@ -931,7 +931,7 @@
     /// Moves the limit so that answers take `aim` of the goal time on average: less when they are slower,
     /// whatever slows them, more when they are quicker and the limit is what holds work back.
     fn steer(&mut self, part: f64, aim: f64) {
-        let off = 1.0 - (part / aim).min(OUTLIER);
+        let off = 1.0 - part / aim;
         if off < 0.0 || self.out + 2.0 > self.limit {
             self.limit = (self.limit * (1.0 + STEER * off)).clamp(LEAST_LIMIT, MOST_LIMIT);
         }
@@ -975,7 +975,7 @@
 /// Hand-offs that all gateways together keep out at a host at first; each takes an even part and goes on from
 /// there. Enough to keep a few cores busy. At the least a gateway keeps one out at every tenth host, to see
 /// it recover.
-const FIRST_LIMIT: f64 = 9.0;
+const FIRST_LIMIT: f64 = 5.0;
 const LEAST_LIMIT: f64 = 0.1;
 const MOST_LIMIT: f64 = 64.0;
 /// Mean time of an answer as a part of its goal time: a little over the best mean of some fifty answers of
@@ -986,8 +986,6 @@
 const BEST_OF: f64 = 50.0;
 const BEST_FADES: f64 = 1.01;
 const STEER: f64 = 0.05;
-/// No answer counts for more than this many times the aim: a few very long inquiries must not starve a host.
-const OUTLIER: f64 = 3.0;
 /// Part of the goal time after which a hand-off is doubted: time for a second one is left.
 const PATIENCE: f64 = 0.55;
 /// Average over about ten answers.
