--- a/src/logic.rs
+++ b/src/logic.rs
@@ -669,12 +669,16 @@
         if host.rests > 0 { 1.0 } else { (host.limit * self.warmth(&host.line)).ceil() }
     }
 
-    /// Room at some host and within the sum of all limits, each of which may be below one among many gateways.
+    /// Room at some host and within the sum of all limits, which may each be below one among many gateways.
     fn any_room(&self) -> bool {
-        let here = self.hosts.values().map(|h| (h.out, h.limit * self.warmth(&h.line), self.allowed(h)));
-        let usable = here.filter(|h| h.2 > 0.0);
-        let sum = usable.fold((0.0, 0.0, false), |s, h| (s.0 + h.0, s.1 + h.1, s.2 || h.0 + 1.0 <= h.2));
-        sum.2 && sum.0 + 1.0 <= sum.1.max(1.0)
+        let least = FLEET_LEAST / f64::from(self.terms.gateways.max(1));
+        let (mut out, mut sum, mut floor, mut any) = (0.0, 0.0, 0.0, false);
+        for host in self.hosts.values().filter(|h| self.allowed(h) > 0.0) {
+            let warmth = self.warmth(&host.line);
+            (out, sum, floor) = (out + host.out, sum + host.limit * warmth, floor + least * warmth);
+            any |= host.out + 1.0 <= self.allowed(host);
+        }
+        any && out + 1.0 <= sum.max(floor).max(1.0)
     }
 
     /// Weighted rotation among the hosts with room that the inquiry's lane leaves open.
@@ -809,7 +813,7 @@
         self.after(patience, Box::new(move |gateway, out| gateway.impatient(out, id, nth)));
     }
 
-    /// A hand-off is out for long: try elsewhere, where the lane allows it and spare hand-offs are left.
+    /// A hand-off is out for long: try elsewhere, where the lane allows it.
     fn impatient(&mut self, out: &mut dyn Outward, id: u32, nth: u16) {
         if !self.hands.contains_key(&(id, nth)) || !self.may_repeat(id) {
             return;
@@ -956,9 +960,8 @@
 
 /// A customer not seen for this long is new again: longer than any window, tier or name lives.
 const FORGET: f64 = 60.0;
-/// How long an open place of a dead gateway stays counted at most: two slots of about an abandon time.
+/// A dead gateway's open places stay counted two slots at most; advice when all are taken: a hand-off's time.
 const OPEN_SLOT: f64 = 4.0;
-/// Advice when all open places are taken: about a hand-off's time.
 const OPEN_SOON: f64 = 0.2;
 /// Longest time without asking about a full window, since others may have taken adds back.
 const FULL_MOST: f64 = 1.0;
@@ -978,6 +981,9 @@
 const FIRST_LIMIT: f64 = 5.0;
 const LEAST_LIMIT: f64 = 0.1;
 const MOST_LIMIT: f64 = 64.0;
+/// And all gateways together never keep out less than this many a warm host, however long answers take: that
+/// much keeps cores from idling and builds no queue worth the name.
+const FLEET_LEAST: f64 = 2.0;
 /// Mean time of an answer as a part of its goal time: a little over the best mean of some fifty answers of
 /// late, which tells what hosts need when little waits; no longer than leaves most answers in time.
 const AIM_OVER_BEST: f64 = 1.8;
@@ -990,10 +996,9 @@
 const PATIENCE: f64 = 0.55;
 /// Average over about ten answers.
 const SUCCESS_STEP: f64 = 0.1;
-/// Doubted hand-offs in a row that send a host to rest, and its first rest.
+/// Doubted hand-offs in a row that send a host to rest, its first rest, and the time between lines about it.
 const HOST_STRIKES: u32 = 2;
 const FIRST_REST: f64 = 1.0;
-/// Between two lines about resting hosts.
 const TRACE_EVERY: f64 = 5.0;
 /// Advice under overload, in seconds around which chance spreads it.
 const LOAD_WAIT: f64 = 0.4;
