--- a/src/logic.rs
+++ b/src/logic.rs
@@ -375,9 +375,12 @@
         if most <= 0.0 {
             return self.ask_quota(out, id);
         }
-        self.open.entry(id).and_modify(|o| o.holds_place = true);
         let Some(known) = self.customers.get_mut(&customer) else { return };
+        if known.slides[0].full.0 > self.now {
+            return self.push_back(out, id, OPEN_SOON);
+        }
         known.out += 1.0;
+        self.open.entry(id).and_modify(|o| o.holds_place = true);
         let (mine, share) = (known.out, known.share);
         // Alone: the own part of the cap, a broken place by chance.
         let next: AfterCount = Box::new(move |gateway, out, total| {
@@ -387,6 +390,8 @@
                 gateway.ask_quota(out, id);
             } else {
                 gateway.push_back(out, id, OPEN_SOON);
+                let until = gateway.now + OPEN_SOON / 2.0;
+                gateway.customers.entry(customer).and_modify(|c| c.slides[0].full = (until, 0.0));
             }
         });
         if self.may_ask() {
@@ -925,7 +930,8 @@
             }
         }
         if open.holds_place {
-            self.customers.entry(open.customer).and_modify(|c| c.out = (c.out - 1.0).max(0.0));
+            let freed = |c: &mut Customer| (c.out, c.slides[0].full.0) = ((c.out - 1.0).max(0.0), 0.0);
+            self.customers.entry(open.customer).and_modify(freed);
             self.state_open(out, open.customer, None);
         }
     }
