--- a/src/logic.rs
+++ b/src/logic.rs
@@ -274,6 +274,11 @@
     }
 
     fn round(&mut self, now: f64, out: &mut dyn Outward) {
+        // Answers a mean is taken of, and its fading: some minutes of worse ones outlive a good one.
+        const BEST_OF: f64 = 50.0;
+        const BEST_FADES: f64 = 1.01;
+        // A customer not seen for this long is new again: longer than any window, tier or name lives.
+        const FORGET: f64 = 60.0;
         let slot = (now / OPEN_SLOT) as u64;
         let stale =
             self.customers.iter().filter(|(_, c)| c.out > 0.0 && c.open_slot != slot).map(|(id, _)| *id);
@@ -290,6 +295,8 @@
     }
 
     pub fn list_news(&mut self, now: f64, out: &mut dyn Outward, news: News, lines: &[HostLine]) {
+        // Hand-offs out at a host at first, over all gateways: keeps a few cores busy.
+        const FIRST_LIMIT: f64 = 5.0;
         self.now = now;
         if news == News::Failed {
             self.after(1.0, Box::new(|_, out| out.subscribe()));
@@ -375,12 +382,9 @@
         if most <= 0.0 {
             return self.ask_quota(out, id);
         }
+        self.open.entry(id).and_modify(|o| o.holds_place = true);
         let Some(known) = self.customers.get_mut(&customer) else { return };
-        if known.slides[0].full.0 > self.now {
-            return self.push_back(out, id, OPEN_SOON);
-        }
         known.out += 1.0;
-        self.open.entry(id).and_modify(|o| o.holds_place = true);
         let (mine, share) = (known.out, known.share);
         // Alone: the own part of the cap, a broken place by chance.
         let next: AfterCount = Box::new(move |gateway, out, total| {
@@ -390,8 +394,6 @@
                 gateway.ask_quota(out, id);
             } else {
                 gateway.push_back(out, id, OPEN_SOON);
-                let until = gateway.now + OPEN_SOON / 2.0;
-                gateway.customers.entry(customer).and_modify(|c| c.slides[0].full = (until, 0.0));
             }
         });
         if self.may_ask() {
@@ -448,6 +450,8 @@
     }
 
     fn judge(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
+        // Longest time without asking about a full window, since others may have taken adds back.
+        const FULL_MOST: f64 = 1.0;
         let now = self.now;
         let (customer, plan, units) = self.about(id);
         let tier = self.tiers[plan][k];
@@ -472,6 +476,8 @@
     }
 
     fn read_closed(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
+        // How far one closed window moves the share: a few windows settle it.
+        const SHARE_STEP: f64 = 0.5;
         let (customer, plan, _) = self.about(id);
         let keep = self.tiers[plan][k].window * 2.0 + 0.5;
         let before = name(customer, k as u64, index - 1);
@@ -508,6 +514,8 @@
 
     /// Past tier `k`: into the next tier that is in force or free to enter; pushed back where none is left.
     fn beyond(&mut self, out: &mut dyn Outward, id: u32, k: usize, wait: f64) {
+        // Part of a tier's period after which its marks are read again.
+        const RECHECK: f64 = 0.25;
         let (customer, plan, _) = self.about(id);
         let next_tier = k + 1;
         let Some(&tier) = self.tiers[plan].get(next_tier) else { return self.push_back(out, id, wait) };
@@ -655,6 +663,11 @@
     }
 
     fn counter_was(&mut self, out: &mut dyn Outward, well: bool) {
+        // Part that asks: one failed call in five leaves it high, ten in a row bring it to the least, which
+        // still tries several times a second.
+        const ASK_LESS: f64 = 0.8;
+        const ASK_MORE: f64 = 1.05;
+        const ASK_LEAST: f64 = 0.05;
         let share = self.ask_share * if well { ASK_MORE } else { ASK_LESS };
         self.ask_share = share.clamp(ASK_LEAST, 1.0);
         if !self.crowded && share < 0.3 {
@@ -676,6 +689,8 @@
 
     /// Room at some host and within the sum of all limits, which may each be below one among many gateways.
     fn any_room(&self) -> bool {
+        // Never out less than this a warm host, over all gateways: keeps cores busy and builds no queue.
+        const FLEET_LEAST: f64 = 2.0;
         let least = FLEET_LEAST / f64::from(self.terms.gateways.max(1));
         let (mut out, mut sum, mut floor, mut any) = (0.0, 0.0, 0.0, false);
         for host in self.hosts.values().filter(|h| self.allowed(h) > 0.0) {
@@ -721,6 +736,15 @@
     }
 
     fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, goal: f64) {
+        // Answers are steered to a little over the best mean of late, which tells what hosts need when little
+        // waits, and well inside the goal; as parts of the goal time.
+        const AIM_OVER_BEST: f64 = 1.6;
+        const AIM_LEAST: f64 = 0.05;
+        const AIM_MOST: f64 = 0.13;
+        // Doubted hand-offs in a row that send a host to rest.
+        const HOST_STRIKES: u32 = 2;
+        // Average over about ten answers.
+        const SUCCESS_STEP: f64 = 0.1;
         let (now, part) = (self.now, (ended.took / goal).min(1.0));
         let aim = (self.best * AIM_OVER_BEST).clamp(AIM_LEAST, AIM_MOST);
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
@@ -752,10 +776,12 @@
         }
     }
 
-    /// A rest is over: where probes are allowed one asks whether the process runs before an inquiry is
-    /// risked. Guards against inquiries spent on hosts that stay dead or cut off; a host that runs but is
-    /// slow passes.
+    /// After a rest a probe, where allowed, asks whether the process runs before an inquiry is risked. Guards
+    /// against inquiries spent on hosts that stay dead or cut off; a host that runs but is slow passes.
     fn rest(&mut self, out: &mut dyn Outward, id: HostId) {
+        // The first rest, short beside a restart; the time between two lines about rests.
+        const FIRST_REST: f64 = 1.0;
+        const TRACE_EVERY: f64 = 5.0;
         let now = self.now;
         let Some(host) = self.hosts.get_mut(&id) else { return };
         if host.rest_until > now {
@@ -806,6 +832,8 @@
     }
 
     fn hand_off(&mut self, out: &mut dyn Outward, id: u32, host: HostId) {
+        // Part of the goal time after which a hand-off is doubted: time for a second one is left.
+        const PATIENCE: f64 = 0.55;
         let now = self.now;
         let (Some(open), Some(to)) = (self.open.get_mut(&id), self.hosts.get_mut(&host)) else { return };
         let nth = open.sent.len() as u16;
@@ -818,7 +846,6 @@
         self.after(patience, Box::new(move |gateway, out| gateway.impatient(out, id, nth)));
     }
 
-    /// A hand-off is out for long: try elsewhere, where the lane allows it.
     fn impatient(&mut self, out: &mut dyn Outward, id: u32, nth: u16) {
         if !self.hands.contains_key(&(id, nth)) || !self.may_repeat(id) {
             return;
@@ -899,6 +926,8 @@
     }
 
     fn push_back_by_load(&mut self, out: &mut dyn Outward, id: u32) {
+        // Advice under overload, spread by chance around it.
+        const LOAD_WAIT: f64 = 0.4;
         let wait = LOAD_WAIT * (0.5 + self.chance.rand_float());
         self.push_back(out, id, wait);
     }
@@ -930,8 +959,7 @@
             }
         }
         if open.holds_place {
-            let freed = |c: &mut Customer| (c.out, c.slides[0].full.0) = ((c.out - 1.0).max(0.0), 0.0);
-            self.customers.entry(open.customer).and_modify(freed);
+            self.customers.entry(open.customer).and_modify(|c| c.out = (c.out - 1.0).max(0.0));
             self.state_open(out, open.customer, None);
         }
     }
@@ -941,7 +969,10 @@
     /// Moves the limit so that answers take `aim` of the goal time on average: less when they are slower,
     /// whatever slows them, more when they are quicker and the limit is what holds work back.
     fn steer(&mut self, part: f64, aim: f64) {
-        let off = 1.0 - part / aim;
+        // Quick steps, or a jam outlives its cause; bounded ones, or a few very long inquiries starve a host.
+        const STEER: f64 = 0.15;
+        const OUTLIER: f64 = 1.5;
+        let off = 1.0 - (part / aim).min(OUTLIER);
         if off < 0.0 || self.out + 2.0 > self.limit {
             self.limit = (self.limit * (1.0 + STEER * off)).clamp(LEAST_LIMIT, MOST_LIMIT);
         }
@@ -964,47 +995,9 @@
     (turns as u64 + 1, turns.fract())
 }
 
-/// A customer not seen for this long is new again: longer than any window, tier or name lives.
-const FORGET: f64 = 60.0;
 /// A dead gateway's open places stay counted two slots at most; advice when all are taken: a hand-off's time.
 const OPEN_SLOT: f64 = 4.0;
 const OPEN_SOON: f64 = 0.2;
-/// Longest time without asking about a full window, since others may have taken adds back.
-const FULL_MOST: f64 = 1.0;
-/// Part of a tier's period after which its marks are read again.
-const RECHECK: f64 = 0.25;
-/// How far one closed window moves the share: a few windows settle it.
-const SHARE_STEP: f64 = 0.5;
-/// Part of the inquiries that ask the counter: cut at each failed call, raised at each answer in time. Even
-/// when one call in five fails the part stays high; a silent counter brings it to the least within some ten
-/// calls, and the least still tries several times a second.
-const ASK_LESS: f64 = 0.8;
-const ASK_MORE: f64 = 1.05;
-const ASK_LEAST: f64 = 0.05;
-/// Hand-offs that all gateways together keep out at a host at first; each takes an even part and goes on from
-/// there. Enough to keep a few cores busy. At the least a gateway keeps one out at every tenth host, to see
-/// it recover.
-const FIRST_LIMIT: f64 = 5.0;
+/// A gateway keeps at least one out at every tenth host, to see it recover.
 const LEAST_LIMIT: f64 = 0.1;
 const MOST_LIMIT: f64 = 64.0;
-/// And all gateways together never keep out less than this many a warm host, however long answers take: that
-/// much keeps cores from idling and builds no queue worth the name.
-const FLEET_LEAST: f64 = 2.0;
-/// Mean time of an answer as a part of its goal time: a little over the best mean of some fifty answers of
-/// late, which tells what hosts need when little waits; no longer than leaves most answers in time.
-const AIM_OVER_BEST: f64 = 1.8;
-const AIM_LEAST: f64 = 0.05;
-const AIM_MOST: f64 = 0.22;
-const BEST_OF: f64 = 50.0;
-const BEST_FADES: f64 = 1.01;
-const STEER: f64 = 0.05;
-/// Part of the goal time after which a hand-off is doubted: time for a second one is left.
-const PATIENCE: f64 = 0.55;
-/// Average over about ten answers.
-const SUCCESS_STEP: f64 = 0.1;
-/// Doubted hand-offs in a row that send a host to rest, its first rest, and the time between lines about it.
-const HOST_STRIKES: u32 = 2;
-const FIRST_REST: f64 = 1.0;
-const TRACE_EVERY: f64 = 5.0;
-/// Advice under overload, in seconds around which chance spreads it.
-const LOAD_WAIT: f64 = 0.4;
