--- a/src/logic.rs
+++ b/src/logic.rs
@@ -171,7 +171,6 @@
     line: HostLine,
     out: f64,
     limit: f64,
-    success: f64,
     strikes: u32,
     heard: f64,
     rests: u32,
@@ -307,8 +306,8 @@
         }
         let limit = FIRST_LIMIT / f64::from(self.terms.gateways.max(1));
         for line in lines {
-            let (line, success, heard) = (line.clone(), 1.0, now);
-            let fresh = Host { line: line.clone(), limit, success, heard, ..Host::default() };
+            let (line, heard) = (line.clone(), now);
+            let fresh = Host { line: line.clone(), limit, heard, ..Host::default() };
             match self.hosts.get_mut(&line.host) {
                 None => drop(self.hosts.insert(line.host, fresh)),
                 Some(host) if line.started > host.line.started => *host = Host { out: host.out, ..fresh },
@@ -715,8 +714,7 @@
         for (&id, host) in self.hosts.iter().filter(|(_, h)| h.out + 1.0 <= self.allowed(h)) {
             let tried = open.sent.iter().any(|s| s.host == id);
             if fellow(&host.line) && !open.sent.iter().any(|s| s.host == id && s.live) {
-                let success = (host.success * host.success).max(0.01);
-                fit.push((id, host.limit * self.warmth(&host.line) * success, tried));
+                fit.push((id, host.limit * self.warmth(&host.line), tried));
             }
         }
         let untried = fit.iter().any(|f| !f.2);
@@ -743,8 +741,6 @@
         const AIM_MOST: f64 = 0.13;
         // Doubted hand-offs in a row that send a host to rest.
         const HOST_STRIKES: u32 = 2;
-        // Average over about ten answers.
-        const SUCCESS_STEP: f64 = 0.1;
         let (now, part) = (self.now, (ended.took / goal).min(1.0));
         let aim = (self.best * AIM_OVER_BEST).clamp(AIM_LEAST, AIM_MOST);
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
@@ -755,11 +751,11 @@
             Outcome::Honoured => {
                 host.strikes = 0;
                 host.rests = 0;
-                host.success += SUCCESS_STEP * (1.0 - host.success);
                 host.steer(part, aim);
                 self.recent = (self.recent.0 + part, self.recent.1 + 1.0);
             }
-            Outcome::Error => host.success += SUCCESS_STEP * (0.0 - host.success),
+            // An error counts as a late answer: one that comes quickly must not draw more work.
+            Outcome::Error => host.steer(1.0, aim),
             Outcome::Full => {
                 host.limit = (host.limit * 0.8).max(LEAST_LIMIT);
                 host.rest_until = host.rest_until.max(now + 0.05);
