--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -159,6 +159,11 @@
                 let first = record.number("first")?.clamp(0.0, 1e6) as u32;
                 gateway.arrived(now, out, Inquiry { id, lane, plan, customer, left, units, spread, first });
             }
+            3 => {
+                let inquiry = record.u32("ticket")?;
+                let _nth = (record.u16("go")?, record.u32("took-us")?);
+                gateway.begun(now, inquiry, record.host("host")?);
+            }
             4 => {
                 let inquiry = record.u32("ticket")?;
                 let over = record.u8("no-more")? & 1 != 0;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! Every decision of archlink. The types and the trait `Outward` stand in `interface.rs`.
 //!
 //! A front makes a `Gateway` with `start` and then calls it with what happens, in order, with its clock:
-//! `list_news`, `arrived`, `ended`, `left`, `counted`, `probed`, `woken`. Each call acts through the
+//! `list_news`, `arrived`, `begun`, `ended`, `left`, `counted`, `probed`, `woken`. Each call acts through the
 //! `Outward` handed in. A gateway shares nothing with others; the same calls give the same actions. Each
 //! inquiry goes `arrived` -> quota (`ask_tier`, `ask_open`) -> `send_on` -> `after_hand_off` -> an answer;
 //! what comes after a wait is left behind as a closure that is handed the result.
@@ -915,6 +915,13 @@
         self.give_up(out, id);
     }
 
+    /// A streamed answer has begun: it has no deadline any more, and its host is not silent.
+    pub fn begun(&mut self, now: f64, id: u32, host: HostId) {
+        self.now = now;
+        self.open.entry(id).and_modify(|o| o.until = f64::INFINITY);
+        self.hosts.entry(host).and_modify(|h| h.heard = now);
+    }
+
     pub fn left(&mut self, now: f64, out: &mut dyn Outward, id: u32) {
         self.now = now;
         self.close(out, id);
