One doubted hand-off sends a host to rest, doubted only after 1.2 of the goal time

Cause: most doubts were false: long inquiries at hosts with little else to answer. Each one lowered the limit and sent the host to rest, which starved fleets of many gateways.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -171,7 +171,6 @@
     line: HostLine,
     out: f64,
     limit: f64,
-    strikes: u32,
     heard: f64,
     rests: u32,
     rest_until: f64,
@@ -739,8 +738,6 @@
         const AIM_OVER_BEST: f64 = 1.6;
         const AIM_LEAST: f64 = 0.05;
         const AIM_MOST: f64 = 0.13;
-        // Doubted hand-offs in a row that send a host to rest.
-        const HOST_STRIKES: u32 = 2;
         let (now, part) = (self.now, (ended.took / goal).min(1.0));
         let aim = (self.best * AIM_OVER_BEST).clamp(AIM_LEAST, AIM_MOST);
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
@@ -749,7 +746,6 @@
         host.heard = if answered { now } else { host.heard };
         match ended.outcome {
             Outcome::Honoured => {
-                host.strikes = 0;
                 host.rests = 0;
                 host.steer(part, aim);
                 self.recent = (self.recent.0 + part, self.recent.1 + 1.0);
@@ -761,15 +757,12 @@
                 host.rest_until = host.rest_until.max(now + 0.05);
             }
             Outcome::TimedOut | Outcome::Cancelled => {
-                host.strikes += 1;
                 host.steer(1.0, aim);
+                self.rest(out, ended.host);
             }
-            Outcome::ConnectFailed | Outcome::Reset => host.strikes = HOST_STRIKES,
+            Outcome::ConnectFailed | Outcome::Reset => self.rest(out, ended.host),
             Outcome::NeverSent => {}
         }
-        if host.strikes >= HOST_STRIKES {
-            self.rest(out, ended.host);
-        }
     }
 
     /// After a rest a probe, where allowed, asks whether the process runs before an inquiry is risked. Guards
@@ -784,7 +777,6 @@
             return;
         }
         host.rests += 1;
-        host.strikes = 0;
         let length = FIRST_REST * f64::from(1 << (host.rests - 1).min(3));
         host.rest_until = now + length;
         if self.terms.may_probe {
@@ -829,7 +821,7 @@
 
     fn hand_off(&mut self, out: &mut dyn Outward, id: u32, host: HostId) {
         // Part of the goal time after which a hand-off is doubted: time for a second one is left.
-        const PATIENCE: f64 = 0.55;
+        const PATIENCE: f64 = 1.2;
         let now = self.now;
         let (Some(open), Some(to)) = (self.open.get_mut(&id), self.hosts.get_mut(&host)) else { return };
         let nth = open.sent.len() as u16;
