--- a/src/logic.rs
+++ b/src/logic.rs
@@ -820,7 +820,7 @@
     }
 
     fn hand_off(&mut self, out: &mut dyn Outward, id: u32, host: HostId) {
-        // Part of the goal time after which a hand-off is doubted: time for a second one is left.
+        // Part of the goal time after which a hand-off is doubted: sooner mostly meets long inquiries.
         const PATIENCE: f64 = 1.2;
         let now = self.now;
         let (Some(open), Some(to)) = (self.open.get_mut(&id), self.hosts.get_mut(&host)) else { return };
