--- a/src/logic.rs
+++ b/src/logic.rs
@@ -921,9 +921,10 @@
     }
 
     fn push_back_by_load(&mut self, out: &mut dyn Outward, id: u32) {
-        // Advice under overload, spread by chance around it.
-        const LOAD_WAIT: f64 = 0.4;
-        let wait = LOAD_WAIT * (0.5 + self.chance.rand_float());
+        // Advice under overload, as a part of the goal time: short enough for the next try to be in time still,
+        // and spread by chance.
+        const LOAD_WAIT: f64 = 0.12;
+        let wait = self.lanes[self.open[&id].lane].goal * LOAD_WAIT * (0.5 + self.chance.rand_float());
         self.push_back(out, id, wait);
     }
 
