--- a/src/logic.rs
+++ b/src/logic.rs
@@ -962,8 +962,8 @@
 }
 
 impl Host {
-    /// Moves the limit so that answers take `aim` of the goal time on average: less when they are slower,
-    /// whatever slows them, more when they are quicker and the limit is what holds work back.
+    /// Moves the limit so that answers take `aim` of the goal time on average. Guards against overdriven hosts;
+    /// covers slow and failing ones, jams and restarts too. Could harm where all work suddenly gets long.
     fn steer(&mut self, part: f64, aim: f64) {
         // Quick steps, or a jam outlives its cause; bounded ones, or a few very long inquiries starve a host.
         const STEER: f64 = 0.15;
