--- a/src/logic.rs
+++ b/src/logic.rs
@@ -921,8 +921,8 @@
     }
 
     fn push_back_by_load(&mut self, out: &mut dyn Outward, id: u32) {
-        // Advice under overload, as a part of the goal time: short enough for the next try to be in time still,
-        // and spread by chance.
+        // Advice under overload, as a part of the goal time: the next try shall be in time still. Chance
+        // spreads it.
         const LOAD_WAIT: f64 = 0.12;
         let wait = self.lanes[self.open[&id].lane].goal * LOAD_WAIT * (0.5 + self.chance.rand_float());
         self.push_back(out, id, wait);
@@ -962,8 +962,8 @@
 }
 
 impl Host {
-    /// Moves the limit so that answers take `aim` of the goal time on average. Guards against overdriven hosts;
-    /// covers slow and failing ones, jams and restarts too. Could harm where all work suddenly gets long.
+    /// Moves the limit so that answers take `aim` of the goal time on average. Guards against overdriven
+    /// hosts; covers slow and failing ones, jams, restarts. Could harm where all work suddenly gets long.
     fn steer(&mut self, part: f64, aim: f64) {
         // Quick steps, or a jam outlives its cause; bounded ones, or a few very long inquiries starve a host.
         const STEER: f64 = 0.15;
--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -241,3 +241,26 @@
         assert!(matches!(world.rules.taken[&id].answer, Some(Answer::PushedBack(wait)) if wait > 0.0));
     }
 }
+
+#[test]
+fn true_units_go_along_with_the_next_add() {
+    let mut world = World::new(Terms { settles: true, ..quota() }, 5);
+    let id = world.arrive(0, 0, 1, 2.0, 2.5);
+    world.count_all();
+    let (now, host) = (world.rules.now, world.rules.taken[&id].hand_offs[0].host);
+    let (outcome, load, true_units) = (Outcome::Honoured, Load::default(), 3.0);
+    let ended = Ended { inquiry: id, nth: 0, over: true, outcome, took: 0.1, true_units, host, load };
+    world.gateway.ended(now, &mut world.rules, ended);
+    world.arrive(0, 0, 1, 2.0, 2.5);
+    let asked: Vec<f64> = world.rules.calls.values().flatten().map(|c| c.0).collect();
+    assert_eq!(asked, [3.0], "two units and the one that the guess lacked");
+}
+
+#[test]
+fn a_soft_plan_may_pass_its_quota_by_its_own_tier_only() {
+    let mut terms = quota();
+    terms.plans[0].over_earns = 0.5;
+    let mut world = World::new(terms, 5);
+    let soft = granted(&mut world, 200);
+    assert!(soft > 40 && soft <= 80, "{soft}: the quota's burst, then up to one more");
+}
