--- a/src/logic.rs
+++ b/src/logic.rs
@@ -305,8 +305,9 @@
         }
         let limit = FIRST_LIMIT / f64::from(self.terms.gateways.max(1));
         for line in lines {
-            let (line, heard) = (line.clone(), now);
-            let fresh = Host { line: line.clone(), limit, heard, ..Host::default() };
+            // Turns start at chance, or all gateways' rotations would fall on the same hosts at the same time.
+            let (line, heard, credit) = (line.clone(), now, self.chance.rand_float());
+            let fresh = Host { line: line.clone(), limit, heard, credit, ..Host::default() };
             match self.hosts.get_mut(&line.host) {
                 None => drop(self.hosts.insert(line.host, fresh)),
                 Some(host) if line.started > host.line.started => *host = Host { out: host.out, ..fresh },
