Refusals decided alone advise an early next try

Cause (a matter of scale): a refusal decided without the counter is a guess, but its advice was the full time until the guessed debt is paid, so clients came back past their goal time or not at all.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -568,19 +568,19 @@
         const LEAST_SHARE: f64 = 0.001;
         let now = self.now;
         let (customer, plan, units) = self.about(id);
-        let (burst, rate) = (self.terms.plans[plan].burst, self.terms.plans[plan].rate);
+        let PlanTerms { rate, burst, .. } = self.terms.plans[plan];
         let Some(known) = self.customers.get_mut(&customer) else { return };
         let cost = units / known.share.max(LEAST_SHARE);
-        let need = cost.min(burst.max(units));
         let slide = &mut known.slides[0];
-        let room = (slide.room - slide.ahead + (now - slide.at) * rate).min(burst);
-        if room + 1e-9 >= need {
-            slide.ahead = slide.room + (now - slide.at) * rate - room + cost;
+        let grown = slide.room + (now - slide.at) * rate;
+        let room = (grown - slide.ahead).min(burst);
+        if room + 1e-9 >= cost.min(burst.max(units)) {
+            slide.ahead = grown - room + cost;
             return self.send_on(out, id);
         }
-        let wait = (need - room) / rate;
+        // The refusal is a guess: the next try shall be soon enough to be asked about in time.
         self.take_back(out, id);
-        self.push_back(out, id, wait);
+        self.push_back_by_load(out, id);
     }
 
     fn tally(&mut self, name: u64, keep: f64) -> &mut Tally {
