Limits step further for hosts heard of seldom; least limits shared over gateways

Cause (a matter of scale): at 200 gateways a host answers one gateway once in 20 s; steps of 15% an answer left all limits at their floor of 0.1, so that slow hosts drew as much as quick ones, and a floor of 0.1 times 200 gateways is 20 a host.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -688,6 +688,8 @@
     fn any_room(&self) -> bool {
         // Never out less than this a warm host, over all gateways: keeps cores busy and builds no queue.
         const FLEET_LEAST: f64 = 2.0;
+        // And this many at any gateway: a part of one among hundreds of gateways would shed by chance.
+        const OWN_LEAST: f64 = 3.0;
         let least = FLEET_LEAST / f64::from(self.terms.gateways.max(1));
         let (mut out, mut sum, mut floor, mut any) = (0.0, 0.0, 0.0, false);
         for host in self.hosts.values().filter(|h| self.allowed(h) > 0.0) {
@@ -695,7 +697,7 @@
             (out, sum, floor) = (out + host.out, sum + host.limit * warmth, floor + least * warmth);
             any |= host.out + 1.0 <= self.allowed(host);
         }
-        any && out + 1.0 <= sum.max(floor).max(1.0)
+        any && out + 1.0 <= sum.max(floor).max(OWN_LEAST)
     }
 
     /// Weighted rotation among the hosts with room that the inquiry's lane leaves open.
@@ -734,26 +736,30 @@
     fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, goal: f64) {
         // Answers are steered to this part of the goal time, well inside it: 0.09 sheds on days of long work.
         const AIM: f64 = 0.13;
+        // Least limit of a host, over all gateways: three keep one out at every tenth host, to see it recover.
+        const LEAST_LIMIT: f64 = 0.3;
         let (now, part) = (self.now, (ended.took / goal).min(1.0));
+        let least = LEAST_LIMIT / f64::from(self.terms.gateways.max(1));
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
+        let since = now - host.heard;
         host.out = (host.out - 1.0).max(0.0);
         let answered = [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome);
         host.heard = if answered { now } else { host.heard };
         match ended.outcome {
             Outcome::Honoured => {
                 host.rests = 0;
-                host.steer(part, AIM);
+                host.steer(least, part, AIM, since);
             }
             // An error counts as a late answer: one that comes quickly must not draw more work. So does a reset:
             // it is no proof of death, since answers may get lost while the host works; a dead one refuses the
             // next connection.
-            Outcome::Error | Outcome::Reset => host.steer(1.0, AIM),
+            Outcome::Error | Outcome::Reset => host.steer(least, 1.0, AIM, since),
             Outcome::Full => {
-                host.limit = (host.limit * 0.8).max(LEAST_LIMIT);
+                host.limit = (host.limit * 0.8).max(least);
                 host.rest_until = host.rest_until.max(now + 0.05);
             }
             Outcome::TimedOut | Outcome::Cancelled => {
-                host.steer(1.0, AIM);
+                host.steer(least, 1.0, AIM, since);
                 self.rest(out, ended.host);
             }
             Outcome::ConnectFailed => self.rest(out, ended.host),
@@ -960,13 +966,16 @@
 impl Host {
     /// Moves the limit so that answers take `aim` of the goal time on average. Guards against overdriven
     /// hosts; covers slow and failing ones, jams, restarts. Could harm where all work suddenly gets long.
-    fn steer(&mut self, part: f64, aim: f64) {
+    /// `since` is the time since the host's last answer: one heard of seldom moves further at a time.
+    fn steer(&mut self, least: f64, part: f64, aim: f64, since: f64) {
         // Quick steps, or a jam outlives its cause; bounded ones, or a few very long inquiries starve a host.
         const STEER: f64 = 0.15;
+        const MOST_STEP: f64 = 0.6;
         const OUTLIER: f64 = 1.5;
+        let step = (STEER * (1.0 + since)).min(MOST_STEP);
         let off = 1.0 - (part / aim).min(OUTLIER);
         if off < 0.0 || self.out + 2.0 > self.limit {
-            self.limit = (self.limit * (1.0 + STEER * off)).clamp(LEAST_LIMIT, MOST_LIMIT);
+            self.limit = (self.limit * (1.0 + step * off)).clamp(least, MOST_LIMIT);
         }
     }
 }
@@ -990,6 +999,4 @@
 /// A dead gateway's open places stay counted two slots at most; advice when all are taken: a hand-off's time.
 const OPEN_SLOT: f64 = 4.0;
 const OPEN_SOON: f64 = 0.2;
-/// A gateway keeps at least one out at every tenth host, to see it recover.
-const LEAST_LIMIT: f64 = 0.1;
 const MOST_LIMIT: f64 = 64.0;
