Least hand-offs out at a gateway are steered by all its answers, one to three

Cause (a matter of scale): three out at any of 399 gateways are sixteen a host of a fleet that shrank; nothing made them fewer, as each gateway hears a host twice a minute. The least is now steered by every answer, toward 0.3 of the goal time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -183,6 +183,8 @@
     now: f64,
     chance: oorandom::Rand64,
     hosts: BTreeMap<HostId, Host>,
+    /// All hosts as one, steered by every answer: what may be out at least, where a host's part is under one.
+    fleet: Host,
     open: BTreeMap<u32, Open>,
     hands: BTreeMap<(u32, u16), AfterHandOff>,
     customers: BTreeMap<u64, Customer>,
@@ -210,6 +212,8 @@
             now,
             chance: oorandom::Rand64::new(u128::from(seed)),
             hosts: BTreeMap::new(),
+            // Grows while under `out` and two, so to three or so, and falls to one where answers are late.
+            fleet: Host { out: 1.0, limit: 3.0, ..Host::default() },
             open: BTreeMap::new(),
             hands: BTreeMap::new(),
             customers: BTreeMap::new(),
@@ -247,17 +251,16 @@
     }
 
     pub fn woken(&mut self, now: f64, out: &mut dyn Outward) {
-        // A timer this late: the gateway stood still. What came meanwhile is heard first, or due steps take hosts
-        // for silent and the counter for dead. Covers paused processes and clock jumps; costs the wait below.
+        // A timer this late: the gateway stood still. What came meanwhile is heard first, or due steps take
+        // hosts for silent, the counter for dead. Covers paused processes and clock jumps; costs 1 ms.
         const STOOD_STILL: f64 = 0.1;
-        const HEAR_FIRST: f64 = 0.001;
         self.now = now;
         if now + 2e-6 < self.wake_at {
             return;
         }
         if now > self.wake_at + STOOD_STILL {
-            self.wake_at = now + HEAR_FIRST;
-            return out.wake(HEAR_FIRST);
+            self.wake_at = now + 1e-3;
+            return out.wake(1e-3);
         }
         self.wake_at = f64::INFINITY;
         while let Some(entry) = self.due.first_entry() {
@@ -300,7 +303,7 @@
         }
         let limit = FIRST_LIMIT / f64::from(self.terms.gateways.max(1));
         for line in lines {
-            // Turns start at chance, or all gateways' rotations would fall on the same hosts at the same time.
+            // Turns start at chance, or all gateways' rotations would fall on the same hosts at once.
             let (line, heard, credit) = (line.clone(), now, self.chance.rand_float());
             let fresh = Host { line: line.clone(), limit, heard, credit, ..Host::default() };
             match self.hosts.get_mut(&line.host) {
@@ -571,7 +574,7 @@
     /// may run it into debt: one seen once a minute of a customer spread over fifty gateways is let in, one
     /// seen every few seconds only now and then. Could harm where the share is far too low.
     fn decide_alone(&mut self, out: &mut dyn Outward, id: u32) {
-        // A share learnt from one closed window may be next to nothing; thousands of gateways are not expected.
+        // A share learnt from one closed window may be next to nothing; thousands of gateways are unlikely.
         const LEAST_SHARE: f64 = 0.001;
         let now = self.now;
         let (customer, plan, units) = self.about(id);
@@ -694,8 +697,6 @@
     fn any_room(&self) -> bool {
         // Never out less than this a warm host, over all gateways: keeps cores busy and builds no queue.
         const FLEET_LEAST: f64 = 2.0;
-        // And this many at any gateway: a part of one among hundreds of gateways would shed by chance.
-        const OWN_LEAST: f64 = 3.0;
         let least = FLEET_LEAST / f64::from(self.terms.gateways.max(1));
         let (mut out, mut sum, mut floor, mut any) = (0.0, 0.0, 0.0, false);
         for host in self.hosts.values().filter(|h| self.allowed(h) > 0.0) {
@@ -703,7 +704,7 @@
             (out, sum, floor) = (out + host.out, sum + host.limit * warmth, floor + least * warmth);
             any |= host.out + 1.0 <= self.allowed(host);
         }
-        any && out + 1.0 <= sum.max(floor).max(OWN_LEAST)
+        any && out + 1.0 <= sum.max(floor).max(self.fleet.limit)
     }
 
     /// Weighted rotation among the hosts with room that the inquiry's lane leaves open.
@@ -742,7 +743,9 @@
     fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, goal: f64) {
         // Answers are steered to this part of the goal time, well inside it: 0.09 sheds on days of long work.
         const AIM: f64 = 0.13;
-        // Least limit of a host, over all gateways: three keep one out at every tenth host, to see it recover.
+        // Later for the fleet, or a few slow hosts make hundreds of gateways shed: 0.13 lost a tenth there.
+        const FLEET_AIM: f64 = 0.3;
+        // Least limit of a host, over all gateways: three keep one out at every tenth host, to see it mend.
         const LEAST_LIMIT: f64 = 0.3;
         let (now, part) = (self.now, (ended.took / goal).min(1.0));
         let least = LEAST_LIMIT / f64::from(self.terms.gateways.max(1));
@@ -751,25 +754,22 @@
         host.out = (host.out - 1.0).max(0.0);
         let answered = [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome);
         host.heard = if answered { now } else { host.heard };
+        // An error counts as a late answer: one that comes quickly must not draw more work. So does a reset: it
+        // proves no death, since answers may get lost while the host works; a dead one refuses to connect.
+        let late = [Outcome::Error, Outcome::Reset, Outcome::TimedOut, Outcome::Cancelled];
+        if ended.outcome == Outcome::Honoured || late.contains(&ended.outcome) {
+            let part = if ended.outcome == Outcome::Honoured { part } else { 1.0 };
+            host.steer(least, part, AIM, since);
+            self.fleet.steer(1.0, part, FLEET_AIM, 0.0);
+        }
         match ended.outcome {
-            Outcome::Honoured => {
-                host.rests = 0;
-                host.steer(least, part, AIM, since);
-            }
-            // An error counts as a late answer: one that comes quickly must not draw more work. So does a reset:
-            // it is no proof of death, since answers may get lost while the host works; a dead one refuses the
-            // next connection.
-            Outcome::Error | Outcome::Reset => host.steer(least, 1.0, AIM, since),
+            Outcome::Honoured => host.rests = 0,
             Outcome::Full => {
                 host.limit = (host.limit * 0.8).max(least);
                 host.rest_until = host.rest_until.max(now + 0.05);
             }
-            Outcome::TimedOut | Outcome::Cancelled => {
-                host.steer(least, 1.0, AIM, since);
-                self.rest(out, ended.host);
-            }
-            Outcome::ConnectFailed => self.rest(out, ended.host),
-            Outcome::NeverSent => {}
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::ConnectFailed => self.rest(out, ended.host),
+            _ => {}
         }
     }
 
@@ -848,7 +848,7 @@
         }
         let Some(open) = self.open.get(&id) else { return };
         let Some(sent) = open.sent.get(usize::from(nth)) else { return };
-        // A host that has answered others since is only busy, or the inquiry is long: a copy makes both worse.
+        // A host that has answered others since is only busy, or the inquiry is long: a copy harms both.
         let busy = self.hosts.get(&sent.host).is_some_and(|h| h.heard > sent.at);
         if busy || open.sent.len() != usize::from(nth) + 1 || open.until - self.now < 0.1 {
             return;
@@ -928,7 +928,7 @@
     }
 
     fn push_back_by_load(&mut self, out: &mut dyn Outward, id: u32) {
-        // Advice under overload, a part of the goal time: the next try shall be in time still. Chance spreads it.
+        // Advice under overload, a part of the goal time: the next try shall be in time. Chance spreads it.
         const LOAD_WAIT: f64 = 0.12;
         let wait = self.lanes[self.open[&id].lane].goal * LOAD_WAIT * (0.5 + self.chance.rand_float());
         self.push_back(out, id, wait);
