--- a/src/logic.rs
+++ b/src/logic.rs
@@ -754,8 +754,8 @@
         host.out = (host.out - 1.0).max(0.0);
         let answered = [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome);
         host.heard = if answered { now } else { host.heard };
-        // An error counts as a late answer: one that comes quickly must not draw more work. So does a reset: it
-        // proves no death, since answers may get lost while the host works; a dead one refuses to connect.
+        // An error counts as a late answer: one that comes quickly must not draw more work. So does a reset:
+        // it proves no death, since answers may get lost while the host works; a dead one refuses to connect.
         let late = [Outcome::Error, Outcome::Reset, Outcome::TimedOut, Outcome::Cancelled];
         if ended.outcome == Outcome::Honoured || late.contains(&ended.outcome) {
             let part = if ended.outcome == Outcome::Honoured { part } else { 1.0 };
