--- a/src/logic.rs
+++ b/src/logic.rs
@@ -259,6 +259,12 @@
             return;
         }
         if now > self.wake_at + STOOD_STILL {
+            // But an inquiry whose client's time is up, or nearly, has this turn alone to be answered.
+            let last = self.open.iter().filter(|(_, o)| o.sent.is_empty() && o.until < now + STOOD_STILL);
+            for id in last.map(|(id, _)| *id).collect::<Vec<_>>() {
+                self.take_back(out, id);
+                self.push_back_by_load(out, id);
+            }
             self.wake_at = now + 1e-3;
             return out.wake(1e-3);
         }
@@ -355,9 +361,8 @@
         self.rouse(out);
     }
 
-    /// A hard ceiling is kept without the counter: each gateway fills its own even part of it, from nothing
-    /// at a start, since a restart must not grant the stored part twice. Costs an unevenly spread customer
-    /// some room.
+    /// A hard ceiling needs no counter: each gateway fills its even part, from nothing at a start: restarts
+    /// would else grant the stored part twice. Costs an unevenly spread customer some room.
     fn below_ceiling(&mut self, id: u32, share: f64) -> bool {
         let open = &self.open[&id];
         let plan = &self.terms.plans[open.plan];
@@ -371,8 +376,7 @@
         known.ceiling + 1e-9 >= open.units
     }
 
-    /// A plan's cap on hand-offs open at once: each gateway states its own open ones under a name of the
-    /// present slot, so what a dead gateway left behind lapses with the slot.
+    /// A plan's cap on hand-offs open at once: each gateway states its own in a slot, with which they lapse.
     fn ask_open(&mut self, out: &mut dyn Outward, id: u32) {
         let (customer, plan, _) = self.about(id);
         let most = self.terms.plans[plan].most_out;
@@ -421,8 +425,7 @@
         }
     }
 
-    /// The design's question: one add of the inquiry's units to the tier's present window, the closed window
-    /// read once and weighted, and read only where the answer hangs on it.
+    /// The design's question: one add to the tier's present window, the closed one read where it decides.
     fn ask_tier(&mut self, out: &mut dyn Outward, id: u32, k: usize) {
         let now = self.now;
         let (customer, plan, units) = self.about(id);
@@ -569,10 +572,9 @@
         self.push(out, name, keep, next);
     }
 
-    /// Without the counter a gateway goes by the room it last saw: it drains on, and each own inquiry is
-    /// taken to stand for the others' too, by the share of the customer's use that comes through here. That
-    /// may run it into debt: one seen once a minute of a customer spread over fifty gateways is let in, one
-    /// seen every few seconds only now and then. Could harm where the share is far too low.
+    /// Without the counter a gateway goes by the room it last saw: it drains on, and each own inquiry stands
+    /// for the others' too, by the share that comes through here, into debt if need be: one a minute of a
+    /// customer spread over fifty gateways is let in. Could harm where the share is far too low.
     fn decide_alone(&mut self, out: &mut dyn Outward, id: u32) {
         // A share learnt from one closed window may be next to nothing; thousands of gateways are unlikely.
         const LEAST_SHARE: f64 = 0.001;
@@ -984,8 +986,7 @@
     }
 }
 
-/// Same name at every gateway: customer, what it counts and the window's number fill 64 bits without overlap,
-/// and a one-to-one mixing spreads them over the counter's parts.
+/// Same name at every gateway: customer, what is counted and window fill 64 bits; mixed one to one.
 fn name(customer: u64, what: u64, index: u64) -> u64 {
     let mut x = (customer << 31) | (what << 28) | (index & 0x0fff_ffff);
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -993,8 +994,7 @@
     x ^ (x >> 31)
 }
 
-/// The number of the tier's present window and the part of it that is gone. Customers' windows start apart,
-/// so that they do not all turn at once.
+/// The number of the tier's present window and the part of it that is gone; customers' windows turn apart.
 fn window(customer: u64, tier: &Tier, now: f64) -> (u64, f64) {
     let turns = now / tier.window + (customer.wrapping_mul(0x9e37_79b9) % 1024) as f64 / 1024.0;
     (turns as u64 + 1, turns.fract())
--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -297,11 +297,8 @@
     for _ in 0..200 {
         let id = world.arrive(0, 0, 1, 4.0, 2.5);
         world.pass(0.05);
-        for asked in world.rules.calls.values_mut() {
-            calls += asked.len();
-            empty += asked.iter().filter(|c| c.0 == 0.0).count();
-        }
-        while let Some(name) = world.rules.calls.iter().find(|c| !c.1.is_empty()).map(|c| *c.0) {
+        while let Some((&name, asked)) = world.rules.calls.iter().find(|c| !c.1.is_empty()) {
+            (calls, empty) = (calls + 1, empty + usize::from(asked[0].0 == 0.0));
             world.count(name, Some(false));
         }
         world.end(id, 0, Outcome::Honoured);
@@ -313,18 +310,20 @@
 fn alone_a_wide_spread_customer_runs_into_debt() {
     let mut world = World::new(Terms { may_count: false, ..quota() }, 5);
     world.spread = 500;
-    let mut sent = 0;
-    for _ in 0..60 {
-        sent += usize::from(ask(&mut world, 1, 1.0));
+    let mut sent = || {
         world.pass(1.0);
-    }
-    assert_eq!(sent, 1, "one unit seen here stands for 500, a hundred seconds' worth");
+        ask(&mut world, 1, 1.0)
+    };
+    assert_eq!(
+        (0..60).filter(|_| sent()).count(),
+        1,
+        "one unit seen here stands for 500, a hundred seconds' worth"
+    );
 }
 
 #[test]
 fn among_many_gateways_a_slow_host_is_told_from_few_answers() {
-    let terms = Terms { gateways: 200, plans: vec![PlanTerms::default()], ..terms() };
-    let mut world = World::new(terms, 4);
+    let mut world = World::new(Terms { gateways: 200, plans: vec![PlanTerms::default()], ..terms() }, 4);
     let mut at_slow = [0; 2];
     for n in 0..200 {
         let id = world.arrive(0, 0, 1, 1.0, 2.5);
@@ -348,3 +347,14 @@
     world.pass(3.0);
     assert!(world.rules.probes.is_empty() && world.hand_offs(id) == 1);
 }
+
+#[test]
+fn whoever_waits_while_the_gateway_stands_still_is_answered_on_its_first_turn() {
+    let mut world = World::new(quota(), 3);
+    let ids = [0.5, 2.5].map(|left| world.arrive(0, 0, 1, 1.0, left));
+    world.stand_still(0.498);
+    assert!(matches!(world.rules.taken[&ids[0]].answer, Some(Answer::PushedBack(_))));
+    assert_eq!(world.rules.taken[&ids[1]].answer, None, "has time to hear the counter's answer first");
+    world.count_all();
+    assert_eq!(ids.map(|id| world.hand_offs(id)), [0, 1]);
+}
