--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -50,7 +50,6 @@
     let all = tiers(&world.rules.terms.plans[0], 4.0);
     let (base, above) = (all[0].limit as usize, all[1].limit as usize);
     assert_eq!(granted(&mut world, 60), base + above, "base and burst tier, then pushed back at once");
-    // While the tier is in force it shadows the base: nothing drains below it.
     world.pass(all[1].active / 2.0);
     let during = granted(&mut world, 60);
     // Lapsed: the base is back and has drained since, but the tier rests.
@@ -202,7 +201,6 @@
     let at = |world: &World, id: u32| world.rules.taken[&id].hand_offs[0].host;
     let dead = at(&world, ids[0]);
     world.pass(0.1);
-    // One of the other host's hand-offs is answered: the rest there is only busy.
     let well = *ids.iter().find(|id| at(&world, **id) != dead).unwrap();
     world.end(well, 0, Outcome::Honoured);
     world.pass(1.0);
--- a/tests/all/rules.rs
+++ b/tests/all/rules.rs
@@ -6,35 +6,14 @@
 
 #[derive(Clone, Debug)]
 enum Deed {
-    Arrive {
-        lane: usize,
-        plan: usize,
-        customer: u64,
-        units: f64,
-        left: f64,
-    },
-    End {
-        which: usize,
-        outcome: Outcome,
-    },
-    Count {
-        which: usize,
-        well: Option<bool>,
-    },
+    Arrive { lane: usize, plan: usize, customer: u64, units: f64, left: f64 },
+    End { which: usize, outcome: Outcome },
+    Count { which: usize, well: Option<bool> },
     Pass(f64),
-    List {
-        n: u64,
-        standing: Standing,
-        fresh: bool,
-    },
-    Probed {
-        well: bool,
-    },
-    Leave {
-        which: usize,
-    },
+    List { n: u64, standing: Standing, fresh: bool },
+    Probed { well: bool },
+    Leave { which: usize },
     EmptyCounter,
-    /// The gateway stands still: the clock jumps, and clients whose time ran out meanwhile are gone.
     StandStill(f64),
 }
 
@@ -176,7 +155,6 @@
     check(4, |deeds| verdict(terms_odd(), deeds));
 }
 
-/// Far more gateways and hosts than any deployment has, and customers spread over more gateways than there are.
 #[test]
 fn rules_hold_at_sizes_beyond_those_to_come() {
     check(5, |deeds| verdict(Terms { gateways: 1000, ..terms() }, deeds));
