--- /dev/null
+++ b/gateway/src/admit.rs
@@ -0,0 +1,38 @@
+//! Second stage: an inquiry gets its number, its place among the open ones and goes to the module. Owns that place
+//! while the client's connection holds the `Admitted`; if the connection goes first, the module hears that the
+//! client left. Must never answer an inquiry itself, nor drop one that the module still holds.
+
+use crate::http::{Answer, Call};
+use crate::route::{Hall, Open};
+use archlink::interface::Inquiry;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+
+pub struct Admitted {
+    hall: Rc<Hall>,
+    id: u32,
+    pub answer: oneshot::Receiver<Answer>,
+}
+
+pub fn admit(hall: &Rc<Hall>, call: Call) -> Admitted {
+    let (sender, answer) = oneshot::channel();
+    let Call { lane, plan, customer, left, units, spread, first, .. } = call;
+    let id = hall.call(|module, now, hands| {
+        let id = hands.number();
+        hands.open.insert(id, Open { call: Rc::new(call), until: now + left, sent: 0, answer: sender });
+        module.arrived(now, hands, Inquiry { id, lane, plan, customer, left, units, spread, first });
+        id
+    });
+    Admitted { hall: hall.clone(), id, answer }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        let id = self.id;
+        self.hall.call(|module, now, hands| {
+            if hands.open.remove(&id).is_some() {
+                module.left(now, hands, id);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/gateway/src/counter.rs
@@ -0,0 +1,313 @@
+//! The counter's client: RESP2 on one pipelined connection, answers matched to calls in order. Owns the calls under
+//! way and the pace of reconnects; each call gets one answer in the time the settings give, and what comes later goes
+//! to nobody. Must never repeat a call, or say that nothing was added unless its last byte was never written.
+
+use crate::route::Hall;
+use archlink::interface::Counted;
+use bytes::{Buf, BytesMut};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until, timeout};
+use tokio_stream::StreamExt;
+use tokio_util::codec::{Decoder, Encoder, Framed};
+
+/// Keeps a quiet connection open and tells whether it still stands: several times in the ten seconds or less after
+/// which the counter closes one.
+const QUIET: Duration = Duration::from_secs(2);
+/// A connection whose oldest call waits this long is given up: far longer than any call lives.
+const SILENT: Duration = Duration::from_secs(1);
+/// Between two tries to connect, so that a counter that comes back isn't met by a storm.
+const PACE: Duration = Duration::from_millis(200);
+/// Calls under way at most; further ones are not sent.
+const MOST_CALLS: usize = 4096;
+
+struct Call {
+    name: u64,
+    amount: f64,
+    keep: f64,
+    due: Instant,
+    told: bool,
+}
+
+enum Sent {
+    Add(Call),
+    Ping,
+}
+
+enum Said {
+    Total(f64),
+    TurnedAway,
+    Other,
+}
+
+struct Resp;
+
+impl Encoder<&Sent> for Resp {
+    type Error = io::Error;
+
+    fn encode(&mut self, sent: &Sent, to: &mut BytesMut) -> io::Result<()> {
+        let Sent::Add(call) = sent else {
+            to.extend_from_slice(b"*1\r\n$4\r\nPING\r\n");
+            return Ok(());
+        };
+        let (name, amount) = (format!("{:016x}", call.name), format!("{}", call.amount));
+        let keep = format!("{}", (call.keep * 1e3).round().clamp(1.0, 60_000.0));
+        to.extend_from_slice(b"*4\r\n$7\r\nINCRTTL\r\n");
+        for word in [name, amount, keep] {
+            write!(to, "${}\r\n{word}\r\n", word.len()).map_err(io::Error::other)?;
+        }
+        Ok(())
+    }
+}
+
+impl Decoder for Resp {
+    type Item = Said;
+    type Error = io::Error;
+
+    fn decode(&mut self, from: &mut BytesMut) -> io::Result<Option<Said>> {
+        const MOST_LINE: usize = 512;
+        let broken = || io::Error::new(io::ErrorKind::InvalidData, "not RESP2");
+        let end = |bytes: &[u8]| bytes.windows(2).position(|pair| pair == b"\r\n");
+        let Some(first) = end(from) else {
+            return if from.len() > MOST_LINE { Err(broken()) } else { Ok(None) };
+        };
+        let (kind, text) = (from[0], std::str::from_utf8(&from[1..first]).map_err(|_| broken())?);
+        match kind {
+            b'-' => {
+                let said = if text.starts_with("BUSY") || text.starts_with("ERR") {
+                    Said::TurnedAway
+                } else {
+                    Said::Other
+                };
+                from.advance(first + 2);
+                Ok(Some(said))
+            }
+            b'+' | b':' => {
+                from.advance(first + 2);
+                Ok(Some(Said::Other))
+            }
+            b'$' if text == "-1" => {
+                from.advance(first + 2);
+                Ok(Some(Said::Other))
+            }
+            b'$' => {
+                let length: usize = text.parse().ok().filter(|n| *n <= MOST_LINE).ok_or_else(broken)?;
+                let whole = first + 2 + length + 2;
+                if from.len() < whole {
+                    return Ok(None);
+                }
+                let total =
+                    std::str::from_utf8(&from[first + 2..whole - 2]).ok().and_then(|t| t.parse().ok());
+                let total = total.filter(|t: &f64| t.is_finite());
+                from.advance(whole);
+                Ok(Some(total.map_or(Said::Other, Said::Total)))
+            }
+            _ => Err(broken()),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Calls {
+    waiting: VecDeque<Call>,
+    written: VecDeque<(Sent, Instant)>,
+}
+
+pub struct Counter {
+    calls: RefCell<Calls>,
+    wake: Notify,
+    life: Duration,
+}
+
+type Link = Framed<TcpStream, Resp>;
+
+/// Encoded into the connection's buffer; the next flush writes it.
+fn put(link: &mut Link, sent: &Sent) -> io::Result<()> {
+    let mut bytes = std::mem::take(link.write_buffer_mut());
+    let done = link.codec_mut().encode(sent, &mut bytes);
+    *link.write_buffer_mut() = bytes;
+    done
+}
+
+impl Counter {
+    pub fn new(life: f64) -> Rc<Counter> {
+        let life = Duration::from_secs_f64(life.clamp(0.001, 60.0));
+        Rc::new(Counter { calls: RefCell::default(), wake: Notify::new(), life })
+    }
+
+    pub fn call(&self, name: u64, amount: f64, keep: f64) {
+        let due = Instant::now() + self.life;
+        self.calls.borrow_mut().waiting.push_back(Call { name, amount, keep, due, told: false });
+        self.wake.notify_one();
+    }
+
+    /// Tells the module of an answer; no borrow of the calls is held, since it may call again.
+    fn tell(&self, hall: &Hall, name: u64, answer: Counted) {
+        hall.call(|module, now, hands| module.counted(now, hands, name, answer));
+    }
+
+    /// Oldest calls first: those whose time is up, or all of them.
+    fn lapse(&self, hall: &Hall, all: bool) {
+        let now = Instant::now();
+        loop {
+            let mut calls = self.calls.borrow_mut();
+            let written = calls.written.iter_mut().find_map(|(sent, _)| match sent {
+                Sent::Add(call) if !call.told => Some(call),
+                _ => None,
+            });
+            if let Some(call) = written {
+                if call.due > now && !all {
+                    return;
+                }
+                call.told = true;
+                let name = call.name;
+                drop(calls);
+                self.tell(hall, name, Counted::MayBeAdded);
+                continue;
+            }
+            if calls.waiting.front().is_none_or(|call| call.due > now && !all) {
+                return;
+            }
+            let Some(call) = calls.waiting.pop_front() else { return };
+            drop(calls);
+            self.tell(hall, call.name, Counted::NotAdded);
+        }
+    }
+
+    fn answered(&self, hall: &Hall, said: Said) {
+        let sent = self.calls.borrow_mut().written.pop_front();
+        let Some((Sent::Add(call), _)) = sent.filter(|(s, _)| !matches!(s, Sent::Add(c) if c.told)) else {
+            return;
+        };
+        let answer = match said {
+            Said::Total(total) => Counted::Total(total),
+            Said::TurnedAway => Counted::NotAdded,
+            Said::Other => Counted::MayBeAdded,
+        };
+        self.tell(hall, call.name, answer);
+    }
+
+    fn next_due(&self) -> Option<Instant> {
+        let calls = self.calls.borrow();
+        let written = calls.written.iter().find_map(|(sent, _)| match sent {
+            Sent::Add(call) if !call.told => Some(call.due),
+            _ => None,
+        });
+        written.or_else(|| calls.waiting.front().map(|call| call.due))
+    }
+
+    /// Writes what waits. On a break the calls at the end whose bytes did not all go are known not to be added.
+    async fn write(&self, link: &mut Link, hall: &Hall) -> io::Result<()> {
+        use futures_util::SinkExt;
+        let now = Instant::now();
+        loop {
+            let mut calls = self.calls.borrow_mut();
+            let Some(call) = calls.waiting.pop_front() else { break };
+            if calls.written.len() >= MOST_CALLS {
+                drop(calls);
+                self.tell(hall, call.name, Counted::NotAdded);
+                continue;
+            }
+            let sent = Sent::Add(call);
+            put(link, &sent)?;
+            calls.written.push_back((sent, now));
+        }
+        let flushed = timeout(SILENT, link.flush()).await;
+        if let Ok(Ok(())) = flushed {
+            return Ok(());
+        }
+        let mut left = link.write_buffer().len();
+        while left > 0 {
+            let Some((sent, _)) = self.calls.borrow_mut().written.pop_back() else { break };
+            let mut bytes = BytesMut::new();
+            link.codec_mut().encode(&sent, &mut bytes)?;
+            left = left.saturating_sub(bytes.len());
+            if let Sent::Add(call) = sent
+                && !call.told
+            {
+                self.tell(hall, call.name, Counted::NotAdded);
+            }
+        }
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+
+    /// Serves one connection until it ends or falls silent; the reason is worth a line.
+    async fn serve(&self, link: &mut Link, hall: &Hall) -> io::Error {
+        loop {
+            if let Err(e) = self.write(link, hall).await {
+                return e;
+            }
+            let now = Instant::now();
+            let oldest = self.calls.borrow().written.front().map(|(_, at)| *at);
+            if oldest.is_some_and(|at| at + SILENT <= now) {
+                return io::ErrorKind::TimedOut.into();
+            }
+            let silent = oldest.map_or(now + QUIET, |at| at + SILENT);
+            let next = self.next_due().map_or(silent, |due| due.min(silent));
+            tokio::select! {
+                biased;
+                said = link.next() => match said {
+                    Some(Ok(said)) => self.answered(hall, said),
+                    Some(Err(e)) => return e,
+                    None => return io::ErrorKind::UnexpectedEof.into(),
+                },
+                _ = self.wake.notified() => {}
+                _ = sleep_until(next) => {
+                    self.lapse(hall, false);
+                    if oldest.is_none() && self.calls.borrow().waiting.is_empty() {
+                        if let Err(e) = put(link, &Sent::Ping) {
+                            return e;
+                        }
+                        self.calls.borrow_mut().written.push_back((Sent::Ping, Instant::now()));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for a step, while calls that wait for a connection lapse in time.
+    async fn meanwhile<T>(&self, hall: &Hall, step: impl Future<Output = T>) -> T {
+        tokio::pin!(step);
+        loop {
+            let due = self.next_due().unwrap_or_else(|| Instant::now() + QUIET);
+            tokio::select! {
+                biased;
+                done = &mut step => return done,
+                _ = self.wake.notified() => {}
+                _ = sleep_until(due) => self.lapse(hall, false),
+            }
+        }
+    }
+
+    /// Connects, serves, and connects again; never ends.
+    pub async fn run(self: Rc<Counter>, hall: Rc<Hall>, address: SocketAddr, connect: f64) {
+        let connect = Duration::from_secs_f64(connect.clamp(0.01, 10.0));
+        loop {
+            let begun = Instant::now();
+            let open =
+                async { timeout(connect, TcpStream::connect(address)).await.map_err(io::Error::from)? };
+            let ended = match self.meanwhile(&hall, open).await {
+                Ok(stream) => {
+                    stream.set_nodelay(true).ok();
+                    let mut link = Framed::new(stream, Resp);
+                    let ended = self.serve(&mut link, &hall).await;
+                    drop(link);
+                    ended
+                }
+                Err(e) => e,
+            };
+            log::debug!("counter: {ended}");
+            // Written ones may have been added, the others were not.
+            self.lapse(&hall, true);
+            self.calls.borrow_mut().written.clear();
+            self.meanwhile(&hall, sleep_until(begun + PACE)).await;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/discovery.rs
@@ -0,0 +1,187 @@
+//! Discovery's client: starts from the known list, then watches for changes from its version on. Owns the connection
+//! and the numbers that stand for hosts' ids; a watch that breaks or falls silent is opened again from the last
+//! version heard. Must never leave out, reorder or interpret what the list says: the module hears it line by line.
+
+use crate::http::Chunks;
+use crate::route::{Clock, Hall};
+use archlink::interface::{HostId, HostLine, News, Standing};
+use archlink_settings::Told;
+use bytes::{Buf, BytesMut};
+use httparse::{EMPTY_HEADER, Status};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until, timeout};
+use tokio_stream::StreamExt;
+use tokio_util::codec::{Decoder, FramedRead};
+
+/// An empty line comes every 2 s; without any for this long the watch is taken for broken.
+const SILENT: Duration = Duration::from_millis(3500);
+/// Between two openings.
+const PACE: Duration = Duration::from_millis(300);
+/// A line of the watch holds the whole list at the most: thousands of hosts.
+const MOST_LINE: usize = 4 << 20;
+
+/// One piece of the list as it came; decoded once, the numbers are given when it is taken over.
+pub struct Piece {
+    version: u64,
+    whole: bool,
+    hosts: Vec<(String, SocketAddr, HostLine)>,
+}
+
+/// Reads a piece; an entry that makes no sense is left out and named in the log.
+pub fn piece(value: &Value, told: &Told, clock: Clock) -> Option<Piece> {
+    let version = value.get("version")?.as_u64()?;
+    let whole = value.get("full").and_then(Value::as_bool).unwrap_or(false);
+    let mut hosts = Vec::new();
+    for entry in value.get("servers").and_then(Value::as_array).into_iter().flatten() {
+        match host(entry, told, clock) {
+            Ok(host) => hosts.push(host),
+            Err(key) => log::warn!("discovery: an entry of version {version} is left out: {key}"),
+        }
+    }
+    Some(Piece { version, whole, hosts })
+}
+
+fn host(entry: &Value, told: &Told, clock: Clock) -> Result<(String, SocketAddr, HostLine), &'static str> {
+    let text = |key: &'static str| entry.get(key).and_then(Value::as_str).ok_or(key);
+    let index = |names: &[String], key: &'static str| {
+        let name = entry.get(key).and_then(Value::as_str).unwrap_or_default();
+        names.iter().position(|n| n == name).map_or(u8::MAX, |n| n.min(254) as u8)
+    };
+    let standing = match text("state")? {
+        "ready" => Standing::Ready,
+        "draining" => Standing::Draining,
+        "gone" => Standing::Gone,
+        _ => return Err("state"),
+    };
+    let number = |key: &str, absent: f64| entry.get(key).and_then(Value::as_f64).unwrap_or(absent);
+    let address = text("addr")?.parse().map_err(|_| "addr")?;
+    let line = HostLine {
+        host: 0,
+        zone: index(&told.zones, "zone"),
+        kind: index(&told.kinds, "kind"),
+        cell: number("cell", 0.0).clamp(0.0, 65_535.0) as u16,
+        standing,
+        size: number("weight", 1.0).max(0.0),
+        started: clock.of_unix(number("started_ms", 0.0) / 1e3),
+    };
+    Ok((text("id")?.to_string(), address, line))
+}
+
+#[derive(Default)]
+struct Watch {
+    body: Option<Chunks>,
+    lines: BytesMut,
+}
+
+impl Decoder for Watch {
+    /// A line, without its end.
+    type Item = BytesMut;
+    type Error = io::Error;
+
+    fn decode(&mut self, from: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+        let broken = |text: &str| io::Error::new(io::ErrorKind::InvalidData, text);
+        if self.body.is_none() {
+            let mut headers = [EMPTY_HEADER; 32];
+            let mut response = httparse::Response::new(&mut headers);
+            match response.parse(from) {
+                Ok(Status::Complete(length)) if response.code == Some(200) => {
+                    from.advance(length);
+                    self.body = Some(Chunks::default());
+                }
+                Ok(Status::Partial) if from.len() < 16 * 1024 => return Ok(None),
+                _ => return Err(broken("no watch")),
+            }
+        }
+        let Some(chunks) = &mut self.body else { return Ok(None) };
+        let ended = chunks.feed(from, &mut self.lines)?;
+        if let Some(at) = self.lines.iter().position(|&b| b == b'\n') {
+            let line = self.lines.split_to(at);
+            self.lines.advance(1);
+            return Ok(Some(line));
+        }
+        if ended || self.lines.len() > MOST_LINE {
+            return Err(broken("watch ended"));
+        }
+        Ok(None)
+    }
+}
+
+pub struct Discovery {
+    hall: Rc<Hall>,
+    address: SocketAddr,
+    numbers: HashMap<String, HostId>,
+    version: u64,
+}
+
+impl Discovery {
+    /// Takes over the list that was known before the start.
+    pub fn start(hall: Rc<Hall>, address: SocketAddr, known: &Value) -> Discovery {
+        let mut discovery = Discovery { hall, address, numbers: HashMap::new(), version: 0 };
+        let known = piece(known, &discovery.hall.told, discovery.hall.clock);
+        let none = Piece { version: 0, whole: true, hosts: Vec::new() };
+        discovery.take(known.unwrap_or(none), News::Remembered);
+        discovery
+    }
+
+    fn take(&mut self, piece: Piece, news: News) {
+        self.version = piece.version;
+        let numbers = &mut self.numbers;
+        self.hall.call(|module, now, hands| {
+            let mut lines = Vec::with_capacity(piece.hosts.len());
+            for (id, address, line) in piece.hosts {
+                let next = numbers.len() as HostId + 1;
+                let host = *numbers.entry(id).or_insert(next);
+                hands.hosts.insert(host, address);
+                lines.push(HostLine { host, ..line });
+            }
+            module.list_news(now, hands, news, &lines);
+        });
+    }
+
+    async fn watch(&mut self) -> io::Result<()> {
+        let mut stream = timeout(SILENT, TcpStream::connect(self.address)).await??;
+        let ask = format!(
+            "GET /discovery/hosts?watch=1&after={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+            self.version, self.address
+        );
+        stream.write_all(ask.as_bytes()).await?;
+        let mut lines = FramedRead::new(stream, Watch::default());
+        loop {
+            let line = timeout(SILENT, lines.next()).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            let value = serde_json::from_slice(&line).map_err(io::Error::other)?;
+            let piece = piece(&value, &self.hall.told, self.hall.clock);
+            let piece = piece.ok_or_else(|| io::Error::other("a line without a version"))?;
+            let news = if piece.whole { News::Whole } else { News::Changes };
+            self.take(piece, news);
+        }
+    }
+
+    /// Watches for good. Where lists must be asked for, a broken watch is told, and opened when the module asks.
+    pub async fn run(mut self, asked: Rc<Notify>) {
+        let must_ask = self.hall.told.terms.must_subscribe;
+        loop {
+            let begun = Instant::now();
+            if must_ask {
+                asked.notified().await;
+            }
+            if let Err(e) = self.watch().await {
+                log::debug!("discovery: {e}");
+            }
+            if must_ask {
+                self.hall.call(|module, now, hands| module.list_news(now, hands, News::Failed, &[]));
+            }
+            sleep_until(begun + PACE).await;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/http.rs
@@ -0,0 +1,509 @@
+//! HTTP/1.1 in both directions as two codecs: what clients ask and are answered, what hosts are sent and reply.
+//! Owns every header name, path and limit of the client and host protocols; each message is decoded once into a
+//! small typed value and encoded once. Must never hold a connection, read a clock, or judge an inquiry: it says
+//! what a message is, or with which plain 4xx it is not one.
+
+use archlink::interface::{Effect, Load};
+use archlink_settings::Told;
+use bytes::{Buf, Bytes, BytesMut};
+use httparse::{EMPTY_HEADER, Header, Status};
+use std::fmt::Write;
+use std::io;
+use std::rc::Rc;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Bodies are bounded by the protocol; heads by what common servers take.
+pub const MOST_BODY: usize = 64 * 1024;
+const MOST_HEAD: usize = 16 * 1024;
+const MOST_HEADERS: usize = 64;
+
+/// One inquiry as a client sent it; `passed` are the header lines that go on to the host as they came.
+#[derive(Debug)]
+pub struct Call {
+    pub lane: usize,
+    pub plan: usize,
+    pub customer: u64,
+    pub left: f64,
+    pub units: f64,
+    pub spread: u32,
+    pub first: u32,
+    pub verb: &'static str,
+    pub target: String,
+    pub passed: Vec<u8>,
+    pub body: Bytes,
+}
+
+#[derive(Debug)]
+pub enum What {
+    Up,
+    Inquiry(Box<Call>),
+    Bad(u16),
+}
+
+#[derive(Debug)]
+pub struct Asked {
+    pub what: What,
+    pub close: bool,
+}
+
+#[derive(Debug)]
+pub enum Answer {
+    Honoured { passed: Vec<u8>, body: Bytes },
+    PushedBack { come_back_in: f64 },
+    Terminated,
+    Up(bool),
+    Bad(u16),
+}
+
+/// What goes to a host: an inquiry with the time that is waited for it, or a probe.
+pub enum Sending<'a> {
+    HandOff { call: &'a Call, host: &'a str, wait: f64 },
+    Probe { host: &'a str },
+}
+
+#[derive(Debug, Default)]
+pub struct Reply {
+    pub status: u16,
+    /// The host says that it never ran.
+    pub declined: bool,
+    pub load: Load,
+    pub passed: Vec<u8>,
+    pub body: Bytes,
+    pub keep: bool,
+}
+
+fn broken(text: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, text)
+}
+
+#[derive(Debug, Default)]
+enum Part {
+    #[default]
+    Size,
+    Data(u64),
+    End,
+    Trailer,
+}
+
+/// Chunked coding, taken off as bytes arrive.
+#[derive(Debug, Default)]
+pub struct Chunks(Part);
+
+impl Chunks {
+    /// Moves what is there from `from` to `to`; true once the last chunk is through.
+    pub fn feed(&mut self, from: &mut BytesMut, to: &mut BytesMut) -> io::Result<bool> {
+        const MOST_LINE: usize = 1024;
+        loop {
+            match self.0 {
+                Part::Size => match httparse::parse_chunk_size(from) {
+                    Ok(Status::Complete((length, size))) => {
+                        from.advance(length);
+                        self.0 = if size == 0 { Part::Trailer } else { Part::Data(size) };
+                    }
+                    Ok(Status::Partial) if from.len() < MOST_LINE => return Ok(false),
+                    _ => return Err(broken("chunk size")),
+                },
+                Part::Data(0) => self.0 = Part::End,
+                Part::Data(left) => {
+                    if from.is_empty() {
+                        return Ok(false);
+                    }
+                    let taken = from.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                    to.extend_from_slice(&from.split_to(taken));
+                    self.0 = Part::Data(left - taken as u64);
+                }
+                Part::End if from.len() < 2 => return Ok(false),
+                Part::End if !from.starts_with(b"\r\n") => return Err(broken("chunk end")),
+                Part::End => {
+                    from.advance(2);
+                    self.0 = Part::Size;
+                }
+                Part::Trailer => match from.iter().position(|&b| b == b'\n') {
+                    Some(at) => {
+                        let last = from[..at].trim_ascii().is_empty();
+                        from.advance(at + 1);
+                        if last {
+                            return Ok(true);
+                        }
+                    }
+                    None if from.len() < MOST_LINE => return Ok(false),
+                    None => return Err(broken("trailer")),
+                },
+            }
+        }
+    }
+}
+
+/// How long a body is, and what of it has come.
+#[derive(Debug)]
+enum Length {
+    Sized(usize),
+    Chunked(Chunks, BytesMut),
+    ToEnd,
+}
+
+enum Body {
+    Whole(Bytes),
+    Partial,
+    TooLarge,
+}
+
+impl Length {
+    fn take(&mut self, from: &mut BytesMut, ended: bool) -> io::Result<Body> {
+        match self {
+            Length::Sized(size) if *size > MOST_BODY => Ok(Body::TooLarge),
+            Length::Sized(size) if from.len() >= *size => Ok(Body::Whole(from.split_to(*size).freeze())),
+            Length::Sized(size) => {
+                from.reserve(*size - from.len());
+                Ok(Body::Partial)
+            }
+            Length::Chunked(chunks, body) => {
+                let whole = chunks.feed(from, body)?;
+                if body.len() > MOST_BODY {
+                    return Ok(Body::TooLarge);
+                }
+                Ok(if whole { Body::Whole(body.split().freeze()) } else { Body::Partial })
+            }
+            Length::ToEnd if from.len() > MOST_BODY => Ok(Body::TooLarge),
+            Length::ToEnd if ended => Ok(Body::Whole(from.split().freeze())),
+            Length::ToEnd => Ok(Body::Partial),
+        }
+    }
+}
+
+/// What the headers say about framing, and the lines that are passed on.
+struct Lines {
+    length: Option<usize>,
+    chunked: bool,
+    close: bool,
+    keep: bool,
+    passed: Vec<u8>,
+}
+
+/// Headers that belong to one connection, or to this gateway, and so are not passed on.
+const OWN: [&str; 14] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "host",
+    "expect",
+    REQ_DEADLINE,
+    SRV_LOAD,
+    SRV_DECLINED,
+];
+const REQ_DEADLINE: &str = "req-deadline";
+const SRV_LOAD: &str = "srv-load";
+const SRV_DECLINED: &str = "srv-declined";
+
+fn lines(headers: &[Header]) -> Option<Lines> {
+    let mut found = Lines { length: None, chunked: false, close: false, keep: false, passed: Vec::new() };
+    for header in headers {
+        let is = |name: &str| header.name.eq_ignore_ascii_case(name);
+        if is("content-length") {
+            let text = std::str::from_utf8(header.value).ok()?;
+            let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+            let length = if digits { text.parse().unwrap_or(usize::MAX) } else { return None };
+            if found.length.is_some_and(|before| before != length) {
+                return None;
+            }
+            found.length = Some(length);
+        } else if is("transfer-encoding") {
+            if found.chunked || !header.value.eq_ignore_ascii_case(b"chunked") {
+                return None;
+            }
+            found.chunked = true;
+        } else if is("connection") {
+            for word in header.value.split(|&b| b == b',') {
+                found.close |= word.trim_ascii().eq_ignore_ascii_case(b"close");
+                found.keep |= word.trim_ascii().eq_ignore_ascii_case(b"keep-alive");
+            }
+        } else if !OWN.iter().any(|own| is(own)) {
+            for part in [header.name.as_bytes(), b": ", header.value, b"\r\n"] {
+                found.passed.extend_from_slice(part);
+            }
+        }
+    }
+    // Two lengths at once are how one message is smuggled inside another.
+    if found.chunked && found.length.is_some() { None } else { Some(found) }
+}
+
+fn header<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(found.value).ok().map(str::trim)
+}
+
+fn number(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
+}
+
+fn query<'a>(target: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = target.split_once('?')?;
+    query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name)).map(|(_, v)| v)
+}
+
+/// The values of a list such as `units=2,spread=3,first=1`.
+fn listed<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    text.split(',').find_map(|pair| pair.trim().split_once('=').filter(|(k, _)| *k == name)).map(|(_, v)| v)
+}
+
+/// The client's side: decodes what is asked, encodes what is answered.
+pub struct ClientSide {
+    told: Rc<Told>,
+    head: Option<(Result<Call, u16>, Length, bool)>,
+    up: bool,
+    failed: bool,
+}
+
+impl ClientSide {
+    pub fn new(told: Rc<Told>) -> ClientSide {
+        ClientSide { told, head: None, up: false, failed: false }
+    }
+
+    /// Whatever does not parse as HTTP ends the connection: where the next message starts is not known.
+    fn bad(&mut self, status: u16) -> io::Result<Option<Asked>> {
+        self.failed = true;
+        Ok(Some(Asked { what: What::Bad(status), close: true }))
+    }
+
+    fn call(&self, request: &httparse::Request, passed: Vec<u8>) -> Result<Call, u16> {
+        let target = request.path.unwrap_or("/");
+        let path = target.split('?').next().unwrap_or(target);
+        let class = path.trim_start_matches('/').split('/').next().unwrap_or("");
+        let lane =
+            self.told.lanes.iter().position(|name| name == class && !class.is_empty()).ok_or(404u16)?;
+        let effect = self.told.terms.lanes[lane].effect;
+        let verb = match (effect, request.method) {
+            (Effect::Pure, Some("GET")) => "GET",
+            (Effect::Receipted | Effect::Effectful, Some("POST")) => "POST",
+            _ => return Err(405),
+        };
+        let field = |name| header(request.headers, name);
+        let named = |name: &str| field("X-Tariff").is_some_and(|plan| plan == name);
+        let plan = self.told.plans.iter().position(|name| named(name)).ok_or(400u16)?;
+        let customer = query(target, "customer").filter(|hex| hex.len() <= 16 && !hex.starts_with('+'));
+        let customer = customer.and_then(|hex| u64::from_str_radix(hex, 16).ok()).filter(|c| *c < 1 << 33);
+        let customer = customer.ok_or(400u16)?;
+        let left = field("Req-Deadline").and_then(number).ok_or(400u16)?;
+        if field("Req-Id").is_none_or(str::is_empty) {
+            return Err(400);
+        }
+        if effect == Effect::Receipted && field("Idempotency-Key").is_none_or(str::is_empty) {
+            return Err(400);
+        }
+        let weight = field("X-Weight").unwrap_or("");
+        let of_weight = |name, absent: f64| match listed(weight, name) {
+            Some(text) => number(text).ok_or(400u16),
+            None => Ok(absent),
+        };
+        Ok(Call {
+            lane,
+            plan,
+            customer,
+            // No client waits a day; and a time must stay one that clocks can add.
+            left: left.min(86_400.0),
+            units: of_weight("units", 1.0)?.min(1e6),
+            spread: of_weight("spread", 1.0)?.clamp(1.0, 1e6) as u32,
+            first: of_weight("first", 0.0)?.min(1e6) as u32,
+            verb,
+            target: target.to_string(),
+            passed,
+            body: Bytes::new(),
+        })
+    }
+}
+
+impl Decoder for ClientSide {
+    type Item = Asked;
+    type Error = io::Error;
+
+    fn decode(&mut self, from: &mut BytesMut) -> io::Result<Option<Asked>> {
+        if self.failed {
+            from.clear();
+            return Ok(None);
+        }
+        if self.head.is_none() {
+            // Empty lines before a message are allowed for.
+            while from.starts_with(b"\r\n") {
+                from.advance(2);
+            }
+            if from.is_empty() {
+                return Ok(None);
+            }
+            let mut headers = [EMPTY_HEADER; MOST_HEADERS];
+            let mut request = httparse::Request::new(&mut headers);
+            let length = match request.parse(from) {
+                Ok(Status::Complete(length)) if length <= MOST_HEAD => length,
+                Ok(Status::Partial) if from.len() < MOST_HEAD => return Ok(None),
+                Ok(_) | Err(httparse::Error::TooManyHeaders) => return self.bad(431),
+                Err(_) => return self.bad(400),
+            };
+            let Some(lines) = lines(request.headers) else { return self.bad(400) };
+            self.up = request.method == Some("GET") && request.path == Some("/up");
+            let close = lines.close || (request.version == Some(0) && !lines.keep);
+            let body = match lines.chunked {
+                true => Length::Chunked(Chunks::default(), BytesMut::new()),
+                false => Length::Sized(lines.length.unwrap_or(0)),
+            };
+            let call = self.call(&request, lines.passed);
+            from.advance(length);
+            self.head = Some((call, body, close));
+        }
+        let Some((_, body, _)) = &mut self.head else { return Ok(None) };
+        match body.take(from, false) {
+            Err(_) => self.bad(400),
+            Ok(Body::TooLarge) => self.bad(413),
+            Ok(Body::Partial) => Ok(None),
+            Ok(Body::Whole(body)) => Ok(self.head.take().map(|(call, _, close)| {
+                let what = match call {
+                    _ if self.up => What::Up,
+                    Ok(call) => What::Inquiry(Box::new(Call { body, ..call })),
+                    Err(status) => What::Bad(status),
+                };
+                Asked { what, close }
+            })),
+        }
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        _ => "Other",
+    }
+}
+
+/// An answer, and whether the connection ends with it.
+impl Encoder<(Answer, bool)> for ClientSide {
+    type Error = io::Error;
+
+    fn encode(&mut self, (answer, close): (Answer, bool), to: &mut BytesMut) -> io::Result<()> {
+        let (status, passed, body, wait) = match answer {
+            Answer::Honoured { passed, body } => (200, passed, body, 0.0),
+            Answer::PushedBack { come_back_in } => (429, Vec::new(), Bytes::new(), come_back_in),
+            Answer::Terminated => (502, Vec::new(), Bytes::new(), 0.0),
+            Answer::Up(well) => (if well { 200 } else { 503 }, Vec::new(), Bytes::new(), 0.0),
+            Answer::Bad(status) => (status, Vec::new(), Bytes::from(reason(status)), 0.0),
+        };
+        to.reserve(128 + passed.len() + body.len());
+        write!(to, "HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason(status), body.len())
+            .map_err(io::Error::other)?;
+        if wait > 0.0 {
+            write!(to, "Retry-After: {wait:.3}\r\n").map_err(io::Error::other)?;
+        }
+        if close {
+            to.extend_from_slice(b"Connection: close\r\n");
+        }
+        to.extend_from_slice(&passed);
+        to.extend_from_slice(b"\r\n");
+        to.extend_from_slice(&body);
+        Ok(())
+    }
+}
+
+/// The host's side: encodes what is sent, decodes what is replied.
+#[derive(Default)]
+pub struct HostSide {
+    head: Option<(Reply, Length)>,
+}
+
+impl Encoder<Sending<'_>> for HostSide {
+    type Error = io::Error;
+
+    fn encode(&mut self, sending: Sending, to: &mut BytesMut) -> io::Result<()> {
+        match sending {
+            Sending::HandOff { call, host, wait } => {
+                to.reserve(256 + call.target.len() + call.passed.len() + call.body.len());
+                let (verb, target) = (call.verb, &call.target);
+                write!(to, "{verb} {target} HTTP/1.1\r\nHost: {host}\r\nReq-Deadline: {wait:.3}\r\n")
+                    .map_err(io::Error::other)?;
+                to.extend_from_slice(&call.passed);
+                if call.verb != "GET" || !call.body.is_empty() {
+                    write!(to, "Content-Length: {}\r\n", call.body.len()).map_err(io::Error::other)?;
+                }
+                to.extend_from_slice(b"\r\n");
+                to.extend_from_slice(&call.body);
+            }
+            Sending::Probe { host } => {
+                write!(to, "GET /alive HTTP/1.1\r\nHost: {host}\r\n\r\n").map_err(io::Error::other)?
+            }
+        }
+        Ok(())
+    }
+}
+
+fn load(text: &str) -> Load {
+    let value = |names: [&str; 2]| names.iter().find_map(|n| listed(text, n)).and_then(number);
+    Load { util: value(["util", "busy"]), service: value(["latency_ms", "lat_ms"]).map(|ms| ms / 1e3) }
+}
+
+impl HostSide {
+    fn step(&mut self, from: &mut BytesMut, ended: bool) -> io::Result<Option<Reply>> {
+        while self.head.is_none() {
+            let mut headers = [EMPTY_HEADER; MOST_HEADERS];
+            let mut response = httparse::Response::new(&mut headers);
+            let length = match response.parse(from) {
+                Ok(Status::Complete(length)) if length <= MOST_HEAD => length,
+                Ok(Status::Partial) if from.len() < MOST_HEAD => return Ok(None),
+                _ => return Err(broken("reply head")),
+            };
+            let lines = lines(response.headers).ok_or_else(|| broken("reply headers"))?;
+            let status = response.code.unwrap_or(0);
+            let body = match (lines.chunked, lines.length) {
+                _ if status == 204 || status == 304 => Length::Sized(0),
+                (true, _) => Length::Chunked(Chunks::default(), BytesMut::new()),
+                (false, Some(length)) => Length::Sized(length),
+                (false, None) => Length::ToEnd,
+            };
+            let old = response.version == Some(0) && !lines.keep;
+            let reply = Reply {
+                status,
+                declined: header(response.headers, SRV_DECLINED) == Some("1"),
+                load: header(response.headers, SRV_LOAD).map_or(Load::default(), load),
+                passed: lines.passed,
+                body: Bytes::new(),
+                keep: !lines.close && !old && !matches!(body, Length::ToEnd),
+            };
+            from.advance(length);
+            // Interim replies come before the one that counts.
+            if status >= 200 {
+                self.head = Some((reply, body));
+            }
+        }
+        let Some((_, body)) = &mut self.head else { return Ok(None) };
+        match body.take(from, ended)? {
+            Body::TooLarge => Err(broken("reply body too large")),
+            Body::Partial => Ok(None),
+            Body::Whole(body) => Ok(self.head.take().map(|(reply, _)| Reply { body, ..reply })),
+        }
+    }
+}
+
+impl Decoder for HostSide {
+    type Item = Reply;
+    type Error = io::Error;
+
+    fn decode(&mut self, from: &mut BytesMut) -> io::Result<Option<Reply>> {
+        self.step(from, false)
+    }
+
+    fn decode_eof(&mut self, from: &mut BytesMut) -> io::Result<Option<Reply>> {
+        match self.step(from, true)? {
+            None if self.head.is_some() || !from.is_empty() => Err(broken("reply cut short")),
+            reply => Ok(reply),
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main.rs
@@ -0,0 +1,116 @@
+//! The api gateway on sockets: starts its parts on one thread, and ends them. Owns the order of both. Must never look
+//! into a message or take part in a decision.
+#![forbid(unsafe_code)]
+
+mod admit;
+mod book;
+mod configuration;
+mod counter;
+mod discovery;
+mod http;
+mod logger;
+mod peers;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+
+use configuration::Start;
+use counter::Counter;
+use discovery::Discovery;
+use peers::Peers;
+use route::{Around, Clock, Hall};
+use send::Kept;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use take_in::{Door, Stage};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+/// After SIGTERM clients' fronts go on sending for a while; and nothing is waited for longer than an inquiry lives.
+const ACCEPT_ON: Duration = Duration::from_millis(800);
+const END_MARGIN: f64 = 1.0;
+
+/// Parts of the descriptors for clients and for hosts; the rest is for the counter, discovery and the system. And a
+/// part of the memory for their buffers, each connection with a body and a head both ways at the most.
+const CLIENTS: f64 = 0.45;
+const HOSTS: f64 = 0.35;
+const BUFFERS: f64 = 0.6;
+const CONNECTION: f64 = 170.0 * 1024.0;
+
+async fn run(start: Start) -> Result<(), String> {
+    let failed = |key: &'static str| move |e: std::io::Error| format!("{key}: {e}");
+    let clock = Clock::start();
+    let Start { told, seed, .. } = start;
+    let told = Rc::new(told);
+    let by_memory = start.memory as f64 * BUFFERS * 1e6 / CONNECTION;
+    let places =
+        |part: f64| (start.sockets as f64 * part).min(by_memory * part / (CLIENTS + HOSTS)).max(4.0) as usize;
+    let counter = Counter::new(told.terms.count_timeout);
+    let kept = Kept::new(places(HOSTS), told.idle_close, told.connect_timeout);
+    let peers = match start.peer_listen.filter(|_| told.terms.may_tell) {
+        Some(own) => {
+            let peers =
+                Peers::open(own, start.peers, start.peers_all).await.map_err(failed("peer_listen"))?;
+            let peers = Rc::new(peers);
+            let drained = peers.clone();
+            spawn_local(async move { drained.drain().await });
+            Some(peers)
+        }
+        None => None,
+    };
+    let listener = TcpListener::bind(start.listen).await.map_err(failed("listen"))?;
+    let mut term = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
+    let asked = Rc::new(Notify::new());
+    let around = Around { kept: kept.clone(), counter: counter.clone(), peers, watch: asked.clone() };
+    let connect = told.connect_timeout;
+    let longest = told.terms.lanes.iter().map(|lane| lane.abandon).fold(3.0, f64::max).min(600.0);
+    let hall = Hall::start(told, seed, clock, around);
+    spawn_local(Discovery::start(hall.clone(), start.discovery, &start.known).run(asked));
+    if let Some(address) = start.counter.filter(|_| hall.told.terms.may_count) {
+        spawn_local(counter.run(hall.clone(), address, connect));
+    }
+    spawn_local(async move {
+        loop {
+            sleep(Duration::from_secs(1)).await;
+            kept.sweep();
+        }
+    });
+    let (stage, stages) = watch::channel(Stage::Serving);
+    let (open, make_room) = (Cell::new(0), Notify::new());
+    let door = Rc::new(Door { hall, stage: stages, open, most: places(CLIENTS), make_room });
+    let listening = spawn_local(take_in::listen(door.clone(), listener));
+    log::info!("listening on {}", start.listen);
+
+    term.recv().await;
+    log::info!("leaving");
+    stage.send(Stage::Leaving).ok();
+    sleep(ACCEPT_ON).await;
+    stage.send(Stage::Left).ok();
+    listening.await.ok();
+    let last = Instant::now() + Duration::from_secs_f64(longest + END_MARGIN);
+    while door.open.get() > 0 && Instant::now() < last {
+        sleep(Duration::from_millis(5)).await;
+    }
+    log::info!("all answered");
+    Ok(())
+}
+
+fn begin() -> Result<(), String> {
+    let start = configuration::read()?;
+    logger::start(&start.name, start.log)?;
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().build().map_err(|e| format!("runtime: {e}"))?;
+    runtime.block_on(LocalSet::new().run_until(run(start)))
+}
+
+fn main() {
+    if let Err(line) = begin() {
+        eprintln!("archlink-gateway: {line}");
+        std::process::exit(2);
+    }
+}
--- /dev/null
+++ b/gateway/src/route.rs
@@ -0,0 +1,199 @@
+//! Third stage: the one instance of the module, the clock it goes by, and `Outward`, which turns its decisions into
+//! tasks. Owns the tables of open inquiries, hand-offs out and hosts' addresses. Must never decide, nor call back
+//! into the module from within `Outward`: what an action leads to comes later, from the task that it started.
+
+use crate::counter::Counter;
+use crate::http::{Answer, Call};
+use crate::peers::Peers;
+use crate::send::{self, Job, Kept};
+use crate::{book, relay};
+use archlink::interface::*;
+use archlink::logic::Gateway;
+use archlink_settings::Told;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+/// The module's clock: monotonic, and set to Unix time once, so that all gateways number windows alike.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: f64,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+        Clock { start: Instant::now(), unix }
+    }
+    pub fn now(&self) -> f64 {
+        self.unix + self.start.elapsed().as_secs_f64()
+    }
+    /// A host's start in Unix time, which is this clock's; 0 stays "long ago".
+    pub fn of_unix(&self, at: f64) -> f64 {
+        if at.is_finite() { at.max(0.0) } else { 0.0 }
+    }
+    pub fn instant(&self, at: f64) -> tokio::time::Instant {
+        // A day ahead at the most: times come from outside and must stay ones that can be added.
+        let ahead = (at - self.unix).clamp(0.0, self.start.elapsed().as_secs_f64() + 86_400.0);
+        (self.start + Duration::from_secs_f64(ahead)).into()
+    }
+}
+
+pub struct Open {
+    pub call: Rc<Call>,
+    /// When the client's time is up.
+    pub until: f64,
+    pub sent: u16,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// What the module's actions reach.
+pub struct Hands {
+    hall: Weak<Hall>,
+    clock: Clock,
+    next: u32,
+    pub open: HashMap<u32, Open>,
+    /// Hand-offs out; dropping or using the sender calls one off.
+    pub out: HashMap<(u32, u16), oneshot::Sender<()>>,
+    pub hosts: HashMap<HostId, SocketAddr>,
+    counter: Rc<Counter>,
+    peers: Option<Rc<Peers>>,
+    timer: Rc<Timer>,
+    watch: Rc<Notify>,
+}
+
+#[derive(Default)]
+struct Timer {
+    due: Cell<Option<f64>>,
+    changed: Notify,
+}
+
+impl Hands {
+    pub fn number(&mut self) -> u32 {
+        self.next = self.next.wrapping_add(1);
+        self.next
+    }
+}
+
+impl Outward for Hands {
+    fn hand_off(&mut self, inquiry: u32, host: HostId, until: f64) {
+        let Some(hall) = self.hall.upgrade() else { return };
+        let now = self.clock.now();
+        let open = self.open.get_mut(&inquiry);
+        let (nth, call, last) = match open {
+            Some(open) => {
+                open.sent += 1;
+                (open.sent - 1, Some(open.call.clone()), open.until)
+            }
+            None => (0, None, now),
+        };
+        let until = if until > 0.0 { until.min(last) } else { last };
+        let (cancel, cancelled) = oneshot::channel();
+        self.out.insert((inquiry, nth), cancel);
+        let job = Job { inquiry, nth, host, address: self.hosts.get(&host).copied(), until, at: now };
+        spawn_local(send::hand_off(book::Owed::new(hall, job), call, cancelled));
+    }
+    fn cancel(&mut self, inquiry: u32, nth: u16) {
+        self.out.remove(&(inquiry, nth));
+    }
+    fn push_back(&mut self, inquiry: u32, come_back_in: f64) {
+        relay::end(self, inquiry, Answer::PushedBack { come_back_in });
+    }
+    fn terminate(&mut self, inquiry: u32) {
+        relay::end(self, inquiry, Answer::Terminated);
+    }
+    fn probe(&mut self, host: HostId) {
+        if let Some(hall) = self.hall.upgrade() {
+            spawn_local(send::probe(book::OwedProbe::new(hall, host), self.hosts.get(&host).copied()));
+        }
+    }
+    fn count(&mut self, name: u64, amount: f64, keep: f64) {
+        self.counter.call(name, amount, keep);
+    }
+    fn tell(&mut self, gateway: Option<u32>, words: &[u8]) {
+        if let Some(peers) = &self.peers {
+            peers.tell(gateway, words);
+        }
+    }
+    fn subscribe(&mut self) {
+        self.watch.notify_one();
+    }
+    fn wake(&mut self, after: f64) {
+        self.timer.due.set(Some(self.clock.now() + after));
+        self.timer.changed.notify_one();
+    }
+    fn trace(&mut self, line: &str) {
+        log::info!("{line}");
+    }
+}
+
+pub struct Hall {
+    core: RefCell<(Gateway, Hands)>,
+    pub clock: Clock,
+    pub told: Rc<Told>,
+    pub kept: Rc<Kept>,
+    timer: Rc<Timer>,
+}
+
+/// The neighbours that a hall acts through.
+pub struct Around {
+    pub kept: Rc<Kept>,
+    pub counter: Rc<Counter>,
+    pub peers: Option<Rc<Peers>>,
+    pub watch: Rc<Notify>,
+}
+
+impl Hall {
+    pub fn start(told: Rc<Told>, seed: u64, clock: Clock, around: Around) -> Rc<Hall> {
+        let timer = Rc::new(Timer::default());
+        let Around { kept, counter, peers, watch } = around;
+        let hall = Rc::new_cyclic(|hall: &Weak<Hall>| {
+            let mut hands = Hands {
+                hall: hall.clone(),
+                clock,
+                next: 0,
+                open: HashMap::new(),
+                out: HashMap::new(),
+                hosts: HashMap::new(),
+                counter,
+                peers,
+                timer: timer.clone(),
+                watch,
+            };
+            let module = Gateway::start(told.terms.clone(), seed, clock.now(), &mut hands);
+            Hall { core: RefCell::new((module, hands)), clock, told, kept, timer: timer.clone() }
+        });
+        spawn_local(tick(hall.clone()));
+        hall
+    }
+
+    /// The only way to the module: one call at a time, with the time of the call.
+    pub fn call<R>(&self, step: impl FnOnce(&mut Gateway, f64, &mut Hands) -> R) -> R {
+        let (module, hands) = &mut *self.core.borrow_mut();
+        step(module, self.clock.now(), hands)
+    }
+}
+
+/// The module's one timer: each new time replaces the one before.
+async fn tick(hall: Rc<Hall>) {
+    loop {
+        let changed = hall.timer.changed.notified();
+        let Some(due) = hall.timer.due.get() else {
+            changed.await;
+            continue;
+        };
+        tokio::select! {
+            _ = changed => {}
+            _ = sleep_until(hall.clock.instant(due)) => {
+                hall.timer.due.set(None);
+                hall.call(|module, now, hands| module.woken(now, hands));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/take_in.rs
@@ -0,0 +1,157 @@
+//! First stage: clients' connections, from the accept to the last byte of an answer. Owns the listening socket and the
+//! bound on clients' connections. Must never hold an inquiry longer than the module does, end a connection that one
+//! waits on, or touch what is asked and answered.
+
+use crate::admit::admit;
+use crate::http::{Answer, Asked, ClientSide, What};
+use crate::route::Hall;
+use futures_util::SinkExt;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_stream::StreamExt;
+use tokio_util::codec::Framed;
+
+/// A connection without a whole message for this long is closed; answers that a client does not read likewise.
+const SILENT: Duration = Duration::from_secs(75);
+const UNREAD: Duration = Duration::from_secs(10);
+
+/// Leaving: answers end their connections. Left: nothing new is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+pub enum Stage {
+    Serving,
+    Leaving,
+    Left,
+}
+
+pub struct Door {
+    pub hall: Rc<Hall>,
+    pub stage: watch::Receiver<Stage>,
+    /// Connections open now, and most of them.
+    pub open: Cell<usize>,
+    pub most: usize,
+    /// Asks the connection that has been idle longest to close.
+    pub make_room: Notify,
+}
+
+impl Door {
+    fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+    /// Can serve: there is a host to send to.
+    fn up(&self) -> bool {
+        self.stage() == Stage::Serving && self.hall.call(|_, _, hands| !hands.hosts.is_empty())
+    }
+}
+
+struct Seat(Rc<Door>);
+
+impl Seat {
+    fn take(door: &Rc<Door>) -> Seat {
+        door.open.set(door.open.get() + 1);
+        Seat(door.clone())
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Accepts until nothing new is taken any more, and then what the system had accepted by then.
+pub async fn listen(door: Rc<Door>, listener: TcpListener) {
+    let mut stage = door.stage.clone();
+    loop {
+        let stream = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = stage.wait_for(|stage| *stage == Stage::Left) => return,
+        };
+        match stream {
+            Ok((stream, _)) => drop(spawn_local(serve(Seat::take(&door), stream))),
+            Err(e) => {
+                log::warn!("accept: {e}");
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+        while door.open.get() >= door.most {
+            door.make_room.notify_one();
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+async fn serve(seat: Seat, stream: TcpStream) {
+    let door = seat.0.clone();
+    stream.set_nodelay(true).ok();
+    let mut framed = Framed::new(stream, ClientSide::new(door.hall.told.clone()));
+    let mut stage = door.stage.clone();
+    let mut early: Option<Asked> = None;
+    loop {
+        let asked = match early.take() {
+            Some(asked) => asked,
+            None => tokio::select! {
+                biased;
+                asked = framed.next() => match asked {
+                    Some(Ok(asked)) => asked,
+                    _ => return,
+                },
+                _ = door.make_room.notified() => return,
+                _ = stage.wait_for(|stage| *stage == Stage::Left) => return,
+                _ = sleep(SILENT) => return,
+            },
+        };
+        let Asked { what, close } = asked;
+        let bad = matches!(what, What::Bad(_));
+        let answer = match what {
+            What::Up => Answer::Up(door.up()),
+            What::Bad(status) => Answer::Bad(status),
+            What::Inquiry(call) => {
+                let mut admitted = admit(&door.hall, *call);
+                loop {
+                    tokio::select! {
+                        biased;
+                        answer = &mut admitted.answer => match answer {
+                            Ok(answer) => break answer,
+                            Err(_) => return,
+                        },
+                        // Either the client is gone, or it sends its next inquiry early.
+                        more = framed.next(), if early.is_none() => match more {
+                            Some(Ok(more)) => early = Some(more),
+                            _ => return,
+                        },
+                    }
+                }
+            }
+        };
+        let close = early.is_none() && (close || door.stage() != Stage::Serving);
+        match timeout(UNREAD, framed.send((answer, close))).await {
+            Ok(Ok(())) if !close => {}
+            Ok(Ok(())) if bad => return linger(framed.into_inner()).await,
+            _ => return,
+        }
+    }
+}
+
+/// Reads on for a moment after the last answer: closing with bytes unread would take the answer back.
+async fn linger(mut stream: TcpStream) {
+    const MOST: usize = 1 << 20;
+    let read_on = async {
+        stream.shutdown().await?;
+        let (mut buffer, mut seen) = ([0; 4096], 0);
+        while seen < MOST {
+            match stream.read(&mut buffer).await? {
+                0 => break,
+                read => seen += read,
+            }
+        }
+        std::io::Result::Ok(())
+    };
+    timeout(Duration::from_secs(1), read_on).await.ok();
+}
--- a/simhost/src/facts.rs
+++ b/settings/src/lib.rs
@@ -1,13 +1,31 @@
-//! The settings lines of the wire, turned into the module's terms. Unknown keys are skipped.
+//! The settings object turned into the module's terms, once, for every front. It comes as lines of path=value or as
+//! nested JSON of the same names; unknown keys are skipped, a wrong one is named. This package owns the names and
+//! units of the settings; it must never hold a default that steers a decision, nor read anything later than the start.
+#![forbid(unsafe_code)]
 
 use archlink::interface::*;
+use serde_json::Value;
 use std::collections::BTreeMap;
 
-struct Facts<'a>(BTreeMap<&'a str, &'a str>);
+/// The terms, and what a front needs for reading and writing its own protocol.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub terms: Terms,
+    pub lanes: Vec<String>,
+    pub plans: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// Names of the values in a host's load report.
+    pub report: Vec<String>,
+    pub connect_timeout: f64,
+    pub idle_close: f64,
+}
+
+struct Facts(BTreeMap<String, String>);
 
-impl Facts<'_> {
+impl Facts {
     fn word(&self, key: &str) -> Result<&str, String> {
-        self.0.get(key).copied().ok_or(format!("{key}: missing"))
+        self.0.get(key).map(String::as_str).ok_or(format!("{key}: missing"))
     }
     fn number(&self, key: &str) -> Result<f64, String> {
         let value: f64 = self.word(key)?.parse().map_err(|_| format!("{key}: not a number"))?;
@@ -16,6 +34,10 @@
         }
         Ok(value)
     }
+    fn list(&self, key: &str) -> Vec<String> {
+        let text = self.0.get(key).map_or("", String::as_str);
+        text.split(',').filter(|word| !word.is_empty()).map(str::to_string).collect()
+    }
     fn number_or(&self, key: &str, absent: f64) -> Result<f64, String> {
         if self.0.contains_key(key) { self.number(key) } else { Ok(absent) }
     }
@@ -23,7 +45,7 @@
         Ok(self.number(key)? / 1e6)
     }
     fn yes(&self, key: &str) -> Result<bool, String> {
-        match self.0.get(key).copied() {
+        match self.0.get(key).map(String::as_str) {
             None | Some("false") => Ok(false),
             Some("true") => Ok(true),
             Some(_) => Err(format!("{key}: neither true nor false")),
@@ -43,7 +65,7 @@
         "side_effect" => Effect::Effectful,
         _ => return Err(format!("{}: unknown", key("effect"))),
     };
-    let group = match facts.0.get(key("key-scope").as_str()).copied() {
+    let group = match facts.0.get(&key("key-scope")).map(String::as_str) {
         Some("zone") => Group::Zone,
         Some("cell") => Group::Cell,
         None | Some("all") => Group::All,
@@ -74,11 +96,49 @@
     })
 }
 
-pub fn read(text: &str) -> Result<(Terms, Vec<String>), String> {
-    let facts = Facts(text.lines().filter_map(|line| line.split_once('=')).collect());
+/// Settings as lines of path=value.
+pub fn from_lines(text: &str) -> Result<Told, String> {
+    let pairs = text.lines().filter_map(|line| line.split_once('='));
+    read(Facts(pairs.map(|(key, value)| (key.to_string(), value.to_string())).collect()))
+}
+
+/// Settings as nested JSON: flattened to the same paths.
+pub fn from_json(settings: &Value) -> Result<Told, String> {
+    let mut flat = BTreeMap::new();
+    flatten(settings, String::new(), &mut flat);
+    read(Facts(flat))
+}
+
+fn flatten(value: &Value, path: String, flat: &mut BTreeMap<String, String>) {
+    let under = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, field)| flatten(field, under(name), flat)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            flat.insert(under("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(n, item)| flatten(item, under(&n.to_string()), flat));
+        }
+        Value::Array(items) => {
+            let words: Vec<String> = items.iter().map(plain).collect();
+            flat.insert(under("count"), items.len().to_string());
+            flat.insert(path, words.join(","));
+        }
+        plain_value => drop(flat.insert(path, plain(plain_value))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_string)
+}
+
+fn read(facts: Facts) -> Result<Told, String> {
+    let names = |list: &str| -> Result<Vec<String>, String> {
+        let key = |n: usize| format!("{list}.{n}.name");
+        Ok((0..facts.count(&format!("{list}.count"))?)
+            .map(|n| facts.0.get(&key(n)).cloned().unwrap_or_default())
+            .collect())
+    };
     let lanes = (0..facts.count("classes.count")?).map(|n| lane(&facts, n)).collect::<Result<_, _>>()?;
     let plans = (0..facts.count("contracts.count")?).map(|n| plan(&facts, n)).collect::<Result<_, _>>()?;
-    let fields = facts.0.get("telemetry.fields").copied().unwrap_or("");
     let terms = Terms {
         lanes,
         plans,
@@ -89,9 +149,9 @@
         count_timeout: facts.number_or("domain.counter-timeout-us", 0.0)? / 1e6,
         settles: facts.yes("domain.settles")?,
         most_units: facts.number_or("domain.most-units", 1.0)?,
-        must_subscribe: facts.0.get("discovery").copied() == Some("subscribe"),
+        must_subscribe: facts.0.get("discovery").is_some_and(|how| how == "subscribe"),
         ask_within: facts.number_or("obligations.must-ask-in-us", 1e7)? / 1e6,
-        sized: facts.0.get("weights").copied().unwrap_or("silent") != "silent",
+        sized: facts.0.get("weights").is_some_and(|meaning| meaning != "silent"),
         most_hand_offs: facts.number("limits.max-attempts")? as u32,
         second_copies: facts.yes("limits.second-copies")?,
         may_cancel: facts.yes("limits.may-cancel")?,
@@ -105,5 +165,14 @@
         tip_multiple: facts.number("obligations.tip-multiple")?,
         tip_for: facts.time("obligations.overload-for-us")?,
     };
-    Ok((terms, fields.split(',').map(str::to_string).collect()))
+    Ok(Told {
+        terms,
+        lanes: names("classes")?,
+        plans: names("contracts")?,
+        zones: facts.list("zones"),
+        kinds: facts.list("kinds"),
+        report: facts.list("telemetry.fields"),
+        connect_timeout: facts.number_or("limits.connect-timeout-us", 250_000.0)? / 1e6,
+        idle_close: facts.number_or("limits.idle-close-us", 15_000_000.0)? / 1e6,
+    })
 }
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -1,7 +1,6 @@
 //! The wire adapter: reads batches, calls the module, writes its answers. It decides nothing.
 #![forbid(unsafe_code)]
 
-mod facts;
 mod wire;
 
 use archlink::interface::*;
@@ -106,10 +105,10 @@
         if code == 0 {
             let seed = record.u64("rng-seed")?;
             let text = frame.text(&mut record, "facts")?;
-            let (terms, fields) = facts::read(&text)?;
-            self.known.insert(who, (terms.lanes.len(), terms.plans.len(), fields));
+            let told = archlink_settings::from_lines(&text)?;
+            self.known.insert(who, (told.lanes.len(), told.plans.len(), told.report));
             let mut speaker = Speaker { who, now, reply };
-            self.gateways.insert(who, Gateway::start(terms, seed, now, &mut speaker));
+            self.gateways.insert(who, Gateway::start(told.terms, seed, now, &mut speaker));
             return Ok(());
         }
         if code == 9 {
