Steps that nothing waits for any more are struck off; an answered inquiry wakes nobody

Seen: two of three wake-ups of the module's timer found nothing to do: the lapse of a wait that was answered, the doubt of a hand-off that had ended. No decision hangs on them. Each costs the gateway a wake of its thread. Small test: what was answered wakes nobody.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,6 +13,8 @@
 type AfterCount = Box<dyn FnOnce(&mut Gateway, &mut dyn Outward, Option<f64>)>;
 /// The inquiry that waits for a call's answer, and what it does then.
 type Asker = Option<(u32, AfterCount)>;
+/// When a step comes due, in bits that sort alike, and its serial number: by it a step is struck off again.
+type Due = (u64, u64);
 type AfterHandOff = Box<dyn FnOnce(&mut Gateway, &mut dyn Outward, &Ended)>;
 
 /// One row a lane: what may be done again, where, and for how long.
@@ -186,11 +188,11 @@
     /// All hosts as one, steered by every answer: what may be out at least, where a host's part is under one.
     fleet: Host,
     open: BTreeMap<u32, Open>,
-    hands: BTreeMap<(u32, u16), AfterHandOff>,
+    hands: BTreeMap<(u32, u16), (Due, AfterHandOff)>,
     customers: BTreeMap<u64, Customer>,
     names: BTreeMap<u64, Tally>,
-    waits: BTreeMap<u64, AfterCount>,
-    due: BTreeMap<(u64, u64), Step>,
+    waits: BTreeMap<u64, (Due, AfterCount)>,
+    due: BTreeMap<Due, Step>,
     serial: u64,
     wake_at: f64,
     round_at: f64,
@@ -235,16 +237,18 @@
         gateway
     }
 
-    fn after(&mut self, delay: f64, step: Step) {
+    fn after(&mut self, delay: f64, step: Step) -> Due {
         self.serial += 1;
-        self.due.insert(((self.now + delay).to_bits(), self.serial), step);
+        let due = ((self.now + delay).to_bits(), self.serial);
+        self.due.insert(due, step);
+        due
     }
 
-    /// One timer serves the round and all due steps: it is set anew when something comes due before it.
+    /// One timer serves the round and all due steps: it is set anew when the first of them changes. Steps
+    /// that nothing waits for any more are struck off, or each inquiry would ring it twice for nothing.
     fn rouse(&mut self, out: &mut dyn Outward) {
-        let next = self.due.first_key_value().map_or(f64::INFINITY, |(k, _)| f64::from_bits(k.0));
-        let next = next.min(self.round_at);
-        if next < self.wake_at {
+        let next = self.due.keys().next().map_or(self.round_at, |k| self.round_at.min(f64::from_bits(k.0)));
+        if next != self.wake_at {
             self.wake_at = next;
             out.wake((next - self.now).max(1e-6));
         }
@@ -286,9 +290,8 @@
         // A customer not seen for this long is new again: longer than any window, tier or name lives.
         const FORGET: f64 = 60.0;
         let slot = (now / OPEN_SLOT) as u64;
-        let stale =
-            self.customers.iter().filter(|(_, c)| c.out > 0.0 && c.open_slot != slot).map(|(id, _)| *id);
-        for customer in stale.collect::<Vec<_>>() {
+        let stale = self.customers.iter().filter(|(_, c)| c.out > 0.0 && c.open_slot != slot);
+        for customer in stale.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.state_open(out, customer, None);
         }
         self.names.retain(|_, t| t.expires > now || !t.asked.is_empty());
@@ -346,8 +349,7 @@
             ceiling_at: now,
             ..Customer::default()
         };
-        let known = self.customers.entry(customer).or_insert_with(fresh);
-        known.seen = now;
+        self.customers.entry(customer).or_insert_with(fresh).seen = now;
         let until = now + left;
         let count_by = (now + 2.0 * self.wait_bound()).min(until - 0.005);
         self.open.insert(id, Open { lane, plan, customer, units, until, count_by, ..Open::default() });
@@ -407,9 +409,8 @@
     fn state_open(&mut self, out: &mut dyn Outward, customer: u64, next: Asker) {
         let slot = (self.now / OPEN_SLOT) as u64;
         let Some(known) = self.customers.get_mut(&customer) else { return };
-        let mine = known.out;
         known.open_slot = slot;
-        let name = name(customer, 7, slot);
+        let (mine, name) = (known.out, name(customer, 7, slot));
         self.tally(name, OPEN_SLOT * 2.0).held = mine;
         if next.is_some() || self.may_ask() {
             self.push(out, name, OPEN_SLOT * 2.0, next);
@@ -521,8 +522,7 @@
         let (customer, plan, _) = self.about(id);
         let next_tier = k + 1;
         let Some(&tier) = self.tiers[plan].get(next_tier) else { return self.push_back(out, id, wait) };
-        let known = &self.customers[&customer];
-        if known.taken_until[next_tier] > self.now || !self.may_ask() {
+        if self.customers[&customer].taken_until[next_tier] > self.now || !self.may_ask() {
             return self.beyond(out, id, next_tier, wait);
         }
         let name = |what: u64| name(customer, what + next_tier as u64, 0);
@@ -558,10 +558,9 @@
     }
 
     fn enter(&mut self, customer: u64, tier: usize, active: f64, taken: f64) {
-        let now = self.now;
         if let Some(known) = self.customers.get_mut(&customer) {
-            known.entered = (tier, now + active);
-            known.taken_until[tier] = now + taken;
+            known.entered = (tier, self.now + active);
+            known.taken_until[tier] = self.now + taken;
         }
     }
 
@@ -578,13 +577,12 @@
     fn decide_alone(&mut self, out: &mut dyn Outward, id: u32) {
         // A share learnt from one closed window may be next to nothing; thousands of gateways are unlikely.
         const LEAST_SHARE: f64 = 0.001;
-        let now = self.now;
         let (customer, plan, units) = self.about(id);
         let PlanTerms { rate, burst, .. } = self.terms.plans[plan];
         let Some(known) = self.customers.get_mut(&customer) else { return };
         let cost = units / known.share.max(LEAST_SHARE);
         let slide = &mut known.slides[0];
-        let grown = slide.room + (now - slide.at) * rate;
+        let grown = slide.room + (self.now - slide.at) * rate;
         let room = (grown - slide.ahead).min(burst);
         if room + 1e-9 >= cost.min(burst.max(units)) {
             slide.ahead = grown - room + cost;
@@ -629,22 +627,21 @@
         tally.asked.push_back((serial, amount, now));
         out.count(name, amount, keep.min(59.0));
         if let Some((id, next)) = next {
-            self.waits.insert(serial, next);
             // All waits of an inquiry together stay within its own bound, short as its client's time may be.
             let wait = self.open.get(&id).map_or(0.0, |o| o.count_by - now).clamp(0.0, self.wait_bound());
             let lapse: Step = Box::new(move |gateway, out| {
-                if let Some(next) = gateway.waits.remove(&serial) {
+                if let Some((_, next)) = gateway.waits.remove(&serial) {
                     gateway.counter_was(out, false);
                     next(gateway, out, None);
                 }
             });
-            self.after(wait, lapse);
+            let due = self.after(wait, lapse);
+            self.waits.insert(serial, (due, next));
         }
     }
 
     pub fn counted(&mut self, now: f64, out: &mut dyn Outward, name: u64, answer: Counted) {
         self.now = now;
-        let bound = self.wait_bound();
         let Some(tally) = self.names.get_mut(&name) else { return };
         let Some((serial, amount, at)) = tally.asked.pop_front() else { return };
         let told = if let Counted::Total(total) = answer { Some(total) } else { None };
@@ -661,10 +658,11 @@
             // May have been added: taken as added, so that a slow counter is not charged twice.
             Counted::MayBeAdded => tally.confirmed += amount.min(0.0),
         }
-        if told.is_none() || now - at <= bound {
+        if told.is_none() || now - at <= self.wait_bound() {
             self.counter_was(out, told.is_some());
         }
-        if let Some(next) = self.waits.remove(&serial) {
+        if let Some((due, next)) = self.waits.remove(&serial) {
+            self.due.remove(&due);
             next(self, out, told);
         }
         self.rouse(out);
@@ -839,9 +837,10 @@
         open.sent.push(Sent { host, zone, cell, at: now, live: true, may_have_run: true });
         to.out += 1.0;
         let patience = self.lanes[open.lane].goal * PATIENCE;
-        self.hands.insert((id, nth), Box::new(move |gateway, out, how| gateway.after_hand_off(out, id, how)));
+        let due = self.after(patience, Box::new(move |gateway, out| gateway.impatient(out, id, nth)));
+        let next: AfterHandOff = Box::new(move |gateway, out, how| gateway.after_hand_off(out, id, how));
+        self.hands.insert((id, nth), (due, next));
         out.hand_off(id, host, 0.0);
-        self.after(patience, Box::new(move |gateway, out| gateway.impatient(out, id, nth)));
     }
 
     fn impatient(&mut self, out: &mut dyn Outward, id: u32, nth: u16) {
@@ -874,7 +873,8 @@
 
     pub fn ended(&mut self, now: f64, out: &mut dyn Outward, ended: Ended) {
         self.now = now;
-        let Some(next) = self.hands.remove(&(ended.inquiry, ended.nth)) else { return };
+        let Some((due, next)) = self.hands.remove(&(ended.inquiry, ended.nth)) else { return };
+        self.due.remove(&due);
         let lane = self.open.get(&ended.inquiry).map_or(0, |o| o.lane);
         self.note_outcome(out, &ended, self.lanes[lane].goal);
         if let Some(open) = self.open.get_mut(&ended.inquiry) {
--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -356,3 +356,19 @@
     world.count_all();
     assert_eq!(ids.map(|id| world.hand_offs(id)), [0, 1]);
 }
+
+/// A wake-up costs a gateway as much as a message: what has been answered rings no more.
+#[test]
+fn what_was_answered_wakes_nobody() {
+    let mut world = World::new(quota(), 3);
+    let id = world.arrive(0, 0, 1, 1.0, 2.5);
+    let lapse = *world.rules.wakes.last().unwrap();
+    world.count_all();
+    let patience = *world.rules.wakes.last().unwrap();
+    assert!(patience > lapse, "the wait for the counter is over");
+    world.end(id, 0, Outcome::Honoured);
+    world.rules.wakes.clear();
+    let other = world.arrive(0, 0, 2, 1.0, 2.5);
+    world.pass(0.1);
+    assert_eq!(world.hand_offs(other), 1, "a wait that is not over still rings");
+}
