Parts are started anew after a panic; counter answers stay in call order when a link breaks

Seen on reading: a break while calls were being written told later calls before earlier ones (counter.rs, write), which the module would have booked to the wrong call of a name; a panic in the timer, counter or discovery task would have left the gateway without it; ids that a whole list leaves out were kept for good. Now unwritten calls wait again and lapse after those before them, the parts are started anew (main.rs, steadily), an inquiry's place is held before the module hears of it (admit.rs).

--- a/gateway/src/admit.rs
+++ b/gateway/src/admit.rs
@@ -17,13 +17,17 @@
 pub fn admit(hall: &Rc<Hall>, call: Call) -> Admitted {
     let (sender, answer) = oneshot::channel();
     let Call { lane, plan, customer, left, units, spread, first, .. } = call;
-    let id = hall.call(|module, now, hands| {
+    let id = hall.call(|_, now, hands| {
         let id = hands.number();
         hands.open.insert(id, Open { call: Rc::new(call), until: now + left, sent: 0, answer: sender });
-        module.arrived(now, hands, Inquiry { id, lane, plan, customer, left, units, spread, first });
         id
     });
-    Admitted { hall: hall.clone(), id, answer }
+    // Its place is held from here on, so that it is given back whatever happens in between.
+    let admitted = Admitted { hall: hall.clone(), id, answer };
+    hall.call(|module, now, hands| {
+        module.arrived(now, hands, Inquiry { id, lane, plan, customer, left, units, spread, first });
+    });
+    admitted
 }
 
 impl Drop for Admitted {
--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -196,18 +196,17 @@
         self.tell(hall, call.name, answer);
     }
 
-    /// Writes what waits. On a break the calls at the end whose bytes did not all go are known not to be added.
-    async fn write(&self, link: &mut Link, hall: &Hall) -> io::Result<()> {
+    /// Writes what waits. On a break the calls at the end whose bytes did not all go are known not to be added: they
+    /// wait again, and are told so after those before them, since answers for a name come in the order of its calls.
+    async fn write(&self, link: &mut Link) -> io::Result<()> {
         use futures_util::SinkExt;
         let now = Instant::now();
         loop {
             let mut calls = self.calls.borrow_mut();
-            let Some(call) = calls.waiting.pop_front() else { break };
             if calls.written.len() >= MOST_CALLS {
-                drop(calls);
-                self.tell(hall, call.name, Counted::NotAdded);
-                continue;
+                return Err(io::Error::other("too many calls unanswered"));
             }
+            let Some(call) = calls.waiting.pop_front() else { break };
             let sent = Sent::Add(call);
             put(link, &sent)?;
             calls.written.push_back((sent, now));
@@ -216,16 +215,14 @@
         if let Ok(Ok(())) = flushed {
             return Ok(());
         }
-        let mut left = link.write_buffer().len();
+        let (mut left, mut calls) = (link.write_buffer().len(), self.calls.borrow_mut());
         while left > 0 {
-            let Some((sent, _)) = self.calls.borrow_mut().written.pop_back() else { break };
+            let Some((sent, _)) = calls.written.pop_back() else { break };
             let mut bytes = BytesMut::new();
             link.codec_mut().encode(&sent, &mut bytes)?;
             left = left.saturating_sub(bytes.len());
-            if let Sent::Add(call) = sent
-                && !call.told
-            {
-                self.tell(hall, call.name, Counted::NotAdded);
+            if let Sent::Add(call) = sent {
+                calls.waiting.push_front(call);
             }
         }
         Err(io::ErrorKind::BrokenPipe.into())
@@ -236,7 +233,7 @@
         let look = sleep(QUIET);
         tokio::pin!(look);
         loop {
-            if let Err(e) = self.write(link, hall).await {
+            if let Err(e) = self.write(link).await {
                 return e;
             }
             tokio::select! {
@@ -269,6 +266,9 @@
     pub async fn run(self: Rc<Counter>, hall: Rc<Hall>, address: SocketAddr, connect: f64) {
         let connect = Duration::from_secs_f64(connect.clamp(0.01, 10.0));
         loop {
+            // Written to a connection that ended: may have been added. The others were not.
+            self.lapse(&hall, true);
+            self.calls.borrow_mut().written.clear();
             let begun = Instant::now();
             let open =
                 async { timeout(connect, TcpStream::connect(address)).await.map_err(io::Error::from)? };
@@ -283,9 +283,6 @@
                 Err(e) => e,
             };
             log::debug!("counter: {ended}");
-            // Written ones may have been added, the others were not.
-            self.lapse(&hall, true);
-            self.calls.borrow_mut().written.clear();
             sleep_until(begun + PACE).await;
         }
     }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -9,7 +9,8 @@
 use bytes::{Buf, BytesMut};
 use httparse::{EMPTY_HEADER, Status};
 use serde_json::Value;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -117,28 +118,40 @@
 pub struct Discovery {
     hall: Rc<Hall>,
     address: SocketAddr,
-    numbers: HashMap<String, HostId>,
-    version: u64,
+    numbers: RefCell<HashMap<String, HostId>>,
+    next: Cell<HostId>,
+    version: Cell<u64>,
 }
 
 impl Discovery {
     /// Takes over the list that was known before the start.
-    pub fn start(hall: Rc<Hall>, address: SocketAddr, known: &Value) -> Discovery {
-        let mut discovery = Discovery { hall, address, numbers: HashMap::new(), version: 0 };
+    pub fn start(hall: Rc<Hall>, address: SocketAddr, known: &Value) -> Rc<Discovery> {
+        let discovery = Discovery {
+            hall,
+            address,
+            numbers: RefCell::default(),
+            next: Cell::new(1),
+            version: Cell::new(0),
+        };
         let known = piece(known, &discovery.hall.told, discovery.hall.clock);
         let none = Piece { version: 0, whole: true, hosts: Vec::new() };
         discovery.take(known.unwrap_or(none), News::Remembered);
-        discovery
+        Rc::new(discovery)
     }
 
-    fn take(&mut self, piece: Piece, news: News) {
-        self.version = piece.version;
-        let numbers = &mut self.numbers;
+    fn take(&self, piece: Piece, news: News) {
+        self.version.set(piece.version);
+        let mut numbers = self.numbers.borrow_mut();
+        if news != News::Changes {
+            // What a whole list leaves out is forgotten, or ids of long ago would pile up.
+            numbers.retain(|id, _| piece.hosts.iter().any(|host| host.0 == *id));
+            let kept: HashSet<HostId> = numbers.values().copied().collect();
+            self.hall.call(|_, _, hands| hands.hosts.retain(|host, _| kept.contains(host)));
+        }
         self.hall.call(|module, now, hands| {
             let mut lines = Vec::with_capacity(piece.hosts.len());
             for (id, address, line) in piece.hosts {
-                let next = numbers.len() as HostId + 1;
-                let host = *numbers.entry(id).or_insert(next);
+                let host = *numbers.entry(id).or_insert_with(|| self.next.replace(self.next.get() + 1));
                 hands.hosts.insert(host, address);
                 lines.push(HostLine { host, ..line });
             }
@@ -146,11 +159,12 @@
         });
     }
 
-    async fn watch(&mut self) -> io::Result<()> {
+    async fn watch(&self) -> io::Result<()> {
         let mut stream = timeout(SILENT, TcpStream::connect(self.address)).await??;
         let ask = format!(
             "GET /discovery/hosts?watch=1&after={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-            self.version, self.address
+            self.version.get(),
+            self.address
         );
         stream.write_all(ask.as_bytes()).await?;
         let mut lines = FramedRead::new(stream, Watch::default());
@@ -168,7 +182,7 @@
     }
 
     /// Watches for good. Where lists must be asked for, a broken watch is told, and opened when the module asks.
-    pub async fn run(mut self, asked: Rc<Notify>) {
+    pub async fn run(self: Rc<Discovery>, asked: Rc<Notify>) {
         let must_ask = self.hall.told.terms.must_subscribe;
         loop {
             let begun = Instant::now();
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -43,6 +43,14 @@
 const BUFFERS: f64 = 0.6;
 const CONNECTION: f64 = 170.0 * 1024.0;
 
+/// Starts a part anew where it panicked, so that it costs what it had in hand and not the gateway.
+async fn steadily<F: Future<Output = ()> + 'static>(part: &'static str, make: impl Fn() -> F) {
+    while spawn_local(make()).await.is_err() {
+        log::error!("{part} is started anew");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 async fn run(start: Start) -> Result<(), String> {
     let failed = |key: &'static str| move |e: std::io::Error| format!("{key}: {e}");
     let clock = Clock::start();
@@ -71,9 +79,13 @@
     let connect = told.connect_timeout;
     let longest = told.terms.lanes.iter().map(|lane| lane.abandon).fold(3.0, f64::max).min(600.0);
     let hall = Hall::start(told, seed, clock, around).map_err(failed("timer"))?;
-    spawn_local(Discovery::start(hall.clone(), start.discovery, &start.known).run(asked));
+    let discovery = Discovery::start(hall.clone(), start.discovery, &start.known);
+    spawn_local(steadily("discovery", move || discovery.clone().run(asked.clone())));
+    let ticked = hall.clone();
+    spawn_local(steadily("timer", move || route::tick(ticked.clone())));
     if let Some(address) = start.counter.filter(|_| hall.told.terms.may_count) {
-        spawn_local(counter.run(hall.clone(), address, connect));
+        let hall = hall.clone();
+        spawn_local(steadily("counter", move || counter.clone().run(hall.clone(), address, connect)));
     }
     spawn_local(async move {
         loop {
@@ -84,7 +96,9 @@
     let (stage, stages) = watch::channel(Stage::Serving);
     let (open, make_room) = (Cell::new(0), Notify::new());
     let door = Rc::new(Door { hall, stage: stages, open, most: places(CLIENTS), make_room });
-    let listening = spawn_local(take_in::listen(door.clone(), listener));
+    let (taking, listener) = (door.clone(), Rc::new(listener));
+    let listening =
+        spawn_local(steadily("listener", move || take_in::listen(taking.clone(), listener.clone())));
     log::info!("listening on {}", start.listen);
 
     term.recv().await;
--- a/gateway/src/route.rs
+++ b/gateway/src/route.rs
@@ -207,7 +207,6 @@
             let module = Gateway::start(told.terms.clone(), seed, clock.now(), &mut hands);
             Hall { core: RefCell::new((module, hands)), clock, told, kept, counter, timer: timer.clone() }
         });
-        spawn_local(tick(hall.clone()));
         Ok(hall)
     }
 
@@ -218,17 +217,14 @@
     }
 }
 
-async fn tick(hall: Rc<Hall>) {
-    while let Err(e) = tick_on(&hall).await {
-        log::error!("timer: {e}");
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
-}
-
-async fn tick_on(hall: &Rc<Hall>) -> io::Result<()> {
+/// Gives the module its wake-ups; never ends.
+pub async fn tick(hall: Rc<Hall>) {
     loop {
-        hall.timer.rings().await?;
-        hall.counter.lapse(hall, false);
+        if let Err(e) = hall.timer.rings().await {
+            log::error!("timer: {e}");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        hall.counter.lapse(&hall, false);
         hall.call(|module, now, hands| module.woken(now, hands));
     }
 }
--- a/gateway/src/take_in.rs
+++ b/gateway/src/take_in.rs
@@ -65,7 +65,7 @@
 }
 
 /// Accepts until nothing new is taken any more, and then what the system had accepted by then.
-pub async fn listen(door: Rc<Door>, listener: TcpListener) {
+pub async fn listen(door: Rc<Door>, listener: Rc<TcpListener>) {
     let mut stage = door.stage.clone();
     loop {
         let stream = tokio::select! {
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -169,7 +169,11 @@
 }
 
 fn counter(how: Count) -> (SocketAddr, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    counter_at("127.0.0.1:0".parse().unwrap(), how)
+}
+
+fn counter_at(address: SocketAddr, how: Count) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind(address).unwrap();
     let (address, calls) = (listener.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
     let (totals, counted) = (Arc::new(Mutex::new(HashMap::<String, f64>::new())), calls.clone());
     spawn(move || {
@@ -221,6 +225,7 @@
     said: Arc<Mutex<Vec<(u64, String)>>>,
     asked: Arc<Mutex<Vec<String>>>,
     breaks: Arc<AtomicUsize>,
+    mute: Arc<AtomicBool>,
 }
 
 impl List {
@@ -237,6 +242,10 @@
                     let breaks = list.breaks.load(Ordering::SeqCst);
                     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
                     while list.breaks.load(Ordering::SeqCst) == breaks {
+                        if list.mute.load(Ordering::SeqCst) {
+                            sleep(ms(20));
+                            continue;
+                        }
                         let news: Vec<_> =
                             list.said.lock().unwrap().iter().filter(|l| l.0 > after).cloned().collect();
                         for (version, line) in news {
@@ -355,8 +364,8 @@
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
     fn terminate(&self) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
     }
 }
 
@@ -488,6 +497,25 @@
     }
 }
 
+#[test]
+fn a_counter_that_comes_back_is_asked_again() {
+    let hosts = [Host::start(How::Well)];
+    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let gateway = gateway_at("back", dead, &hosts);
+    (0..5).for_each(|id| assert_eq!(gateway.ask(&look(id)).0, 200));
+    let (_, calls) = counter_at(dead, Count::Well);
+    until("it is asked", || gateway.ask(&look(9)).0 == 200 && calls.load(Ordering::SeqCst) > 5);
+}
+
+#[test]
+fn a_silent_watch_is_opened_again() {
+    let hosts = [Host::start(How::Well)];
+    let gateway = gateway("mute-watch", Count::Well, &hosts);
+    gateway.list.mute.store(true, Ordering::SeqCst);
+    until("the watch is opened again", || gateway.list.asked.lock().unwrap().len() >= 2);
+    assert_eq!(gateway.ask(&look(1)).0, 200, "the list in hand stays");
+}
+
 #[test]
 fn a_late_count_goes_to_nobody_else() {
     let hosts = [Host::start(How::Well)];
