Generated tests of the codecs; one place for the names of load figures

Seen on reading: the names of a host's load figures stood in two programs, the fields of an inquiry in two types. Both stand once now.

--- a/gateway/src/admit.rs
+++ b/gateway/src/admit.rs
@@ -4,7 +4,6 @@
 
 use crate::http::{Answer, Call};
 use crate::route::{Hall, Open};
-use archlink::interface::Inquiry;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
@@ -16,17 +15,18 @@
 
 pub fn admit(hall: &Rc<Hall>, call: Call) -> Admitted {
     let (sender, answer) = oneshot::channel();
-    let Call { lane, plan, customer, left, units, spread, first, .. } = call;
+    let mut inquiry = call.inquiry.clone();
     let id = hall.call(|_, now, hands| {
         let id = hands.number();
-        hands.open.insert(id, Open { call: Rc::new(call), until: now + left, sent: 0, answer: sender });
+        hands
+            .open
+            .insert(id, Open { until: now + inquiry.left, call: Rc::new(call), sent: 0, answer: sender });
         id
     });
+    inquiry.id = id;
     // Its place is held from here on, so that it is given back whatever happens in between.
     let admitted = Admitted { hall: hall.clone(), id, answer };
-    hall.call(|module, now, hands| {
-        module.arrived(now, hands, Inquiry { id, lane, plan, customer, left, units, spread, first });
-    });
+    hall.call(|module, now, hands| module.arrived(now, hands, inquiry));
     admitted
 }
 
--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -5,6 +5,7 @@
 use crate::route::Hall;
 use archlink::interface::Counted;
 use bytes::{Buf, BytesMut};
+use futures_util::{SinkExt, StreamExt};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt::Write;
@@ -15,7 +16,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
-use tokio_stream::StreamExt;
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
 /// Keeps a quiet connection open and tells whether it still stands: several times in the ten seconds or less after
@@ -199,7 +199,6 @@
     /// Writes what waits. On a break the calls at the end whose bytes did not all go are known not to be added: they
     /// wait again, and are told so after those before them, since answers for a name come in the order of its calls.
     async fn write(&self, link: &mut Link) -> io::Result<()> {
-        use futures_util::SinkExt;
         let now = Instant::now();
         loop {
             let mut calls = self.calls.borrow_mut();
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -7,6 +7,7 @@
 use archlink::interface::{HostId, HostLine, News, Standing};
 use archlink_settings::Told;
 use bytes::{Buf, BytesMut};
+use futures_util::StreamExt;
 use httparse::{EMPTY_HEADER, Status};
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
@@ -19,7 +20,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout};
-use tokio_stream::StreamExt;
 use tokio_util::codec::{Decoder, FramedRead};
 
 /// An empty line comes every 2 s; without any for this long the watch is taken for broken.
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -3,7 +3,7 @@
 //! small typed value and encoded once. Must never hold a connection, read a clock, or judge an inquiry: it says
 //! what a message is, or with which plain 4xx it is not one.
 
-use archlink::interface::{Effect, Load};
+use archlink::interface::{Effect, Inquiry, Load};
 use archlink_settings::Told;
 use bytes::{Buf, Bytes, BytesMut};
 use httparse::{EMPTY_HEADER, Header, Status};
@@ -17,16 +17,11 @@
 const MOST_HEAD: usize = 16 * 1024;
 const MOST_HEADERS: usize = 64;
 
-/// One inquiry as a client sent it; `passed` are the header lines that go on to the host as they came.
+/// One inquiry as a client sent it, its number not given yet; `passed` are the header lines that go on to the host
+/// as they came.
 #[derive(Debug)]
 pub struct Call {
-    pub lane: usize,
-    pub plan: usize,
-    pub customer: u64,
-    pub left: f64,
-    pub units: f64,
-    pub spread: u32,
-    pub first: u32,
+    pub inquiry: Inquiry,
     pub verb: &'static str,
     pub target: String,
     pub passed: Vec<u8>,
@@ -301,7 +296,8 @@
             Some(text) => number(text).ok_or(400u16),
             None => Ok(absent),
         };
-        Ok(Call {
+        let inquiry = Inquiry {
+            id: 0,
             lane,
             plan,
             customer,
@@ -310,11 +306,8 @@
             units: of_weight("units", 1.0)?.min(1e6),
             spread: of_weight("spread", 1.0)?.clamp(1.0, 1e6) as u32,
             first: of_weight("first", 0.0)?.min(1e6) as u32,
-            verb,
-            target: target.to_string(),
-            passed,
-            body: Bytes::new(),
-        })
+        };
+        Ok(Call { inquiry, verb, target: target.to_string(), passed, body: Bytes::new() })
     }
 }
 
@@ -446,8 +439,13 @@
 }
 
 fn load(text: &str) -> Load {
-    let value = |names: [&str; 2]| names.iter().find_map(|n| listed(text, n)).and_then(number);
-    Load { util: value(["util", "busy"]), service: value(["latency_ms", "lat_ms"]).map(|ms| ms / 1e3) }
+    let mut load = Load::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.trim().split_once('=')) {
+        if let Some(value) = number(value) {
+            archlink_settings::figure(&mut load, name, value);
+        }
+    }
+    load
 }
 
 impl HostSide {
@@ -507,3 +505,85 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::{Gen, QuickCheck};
+
+    fn told() -> Rc<Told> {
+        let lines = "classes.count=2\nclasses.0.name=look\nclasses.0.effect=pure\nclasses.0.on-time-us=1\n\
+            classes.0.deadline-us=1\nclasses.1.name=file\nclasses.1.effect=token\nclasses.1.on-time-us=1\n\
+            classes.1.deadline-us=1\ncontracts.count=1\ncontracts.0.name=team\npeers-total=1\n\
+            limits.max-attempts=1\nobligations.drain-grace-us=0\nobligations.cold-from=1\n\
+            obligations.warm-up-us=0\nobligations.tip-multiple=1\nobligations.overload-for-us=0\n";
+        Rc::new(archlink_settings::from_lines(lines).unwrap())
+    }
+
+    const ASKED: &[u8] = b"GET /look?customer=7 HTTP/1.1\r\nReq-Id: 1\r\nX-Tariff: team\r\nReq-Deadline: 1\r\n\r\n\
+        POST /file?customer=8 HTTP/1.1\r\nReq-Id: 2\r\nX-Tariff: team\r\nReq-Deadline: 1\r\nIdempotency-Key: k\r\n\
+        Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n1\r\nd\r\n0\r\nT: x\r\n\r\n\r\nGET /up HTTP/1.1\r\n\r\n\
+        POST /look HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde";
+    const REPLIED: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\nSrv-Load: util=0.5,x=1\r\n\r\n\
+        abcHTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n\
+        Transfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\n";
+
+    /// All that comes out when the bytes arrive in pieces of these lengths, until the messages end or break.
+    fn decoded<D: Decoder<Error = io::Error>>(mut codec: D, bytes: &[u8], cuts: &[u8]) -> Vec<String>
+    where
+        D::Item: std::fmt::Debug,
+    {
+        let (mut buffer, mut items, mut rest, mut cuts) = (BytesMut::new(), Vec::new(), bytes, cuts.iter());
+        loop {
+            let length = cuts.next().map_or(rest.len(), |cut| rest.len().min(usize::from(*cut)));
+            buffer.extend_from_slice(&rest[..length]);
+            rest = &rest[length..];
+            loop {
+                match codec.decode(&mut buffer) {
+                    Ok(Some(item)) => items.push(format!("{item:?}")),
+                    Ok(None) => break,
+                    Err(_) => return items,
+                }
+            }
+            if rest.is_empty() {
+                return items;
+            }
+        }
+    }
+
+    fn check(seed: u64, property: fn(Vec<u8>, Vec<(u16, u8)>) -> bool) {
+        QuickCheck::new().rng(Gen::from_size_and_seed(120, seed)).tests(2000).quickcheck(property);
+    }
+
+    #[test]
+    fn messages_are_the_same_however_they_arrive() {
+        fn property(cuts: Vec<u8>, _: Vec<(u16, u8)>) -> bool {
+            let asked = decoded(ClientSide::new(told()), ASKED, &cuts);
+            let replied = decoded(HostSide::default(), REPLIED, &cuts);
+            asked == decoded(ClientSide::new(told()), ASKED, &[])
+                && replied == decoded(HostSide::default(), REPLIED, &[])
+                && (asked.len(), replied.len()) == (4, 3)
+        }
+        check(1, property);
+    }
+
+    /// Damaged bytes give fewer or other messages, never a panic; and what was damaged arrives the same in pieces.
+    #[test]
+    fn damage_is_told_and_stops_nothing() {
+        fn property(cuts: Vec<u8>, damage: Vec<(u16, u8)>) -> bool {
+            let harm = |bytes: &[u8]| {
+                let mut bytes = bytes.to_vec();
+                for (at, byte) in &damage {
+                    let at = usize::from(*at) % bytes.len();
+                    bytes[at] = *byte;
+                }
+                bytes
+            };
+            let (asked, replied) = (harm(ASKED), harm(REPLIED));
+            decoded(ClientSide::new(told()), &asked, &cuts) == decoded(ClientSide::new(told()), &asked, &[])
+                && decoded(HostSide::default(), &replied, &cuts)
+                    == decoded(HostSide::default(), &replied, &[])
+        }
+        check(2, property);
+    }
+}
--- a/gateway/src/send.rs
+++ b/gateway/src/send.rs
@@ -5,7 +5,7 @@
 use crate::book::{Owed, OwedProbe};
 use crate::http::{Call, HostSide, Reply, Sending};
 use archlink::interface::HostId;
-use futures_util::SinkExt;
+use futures_util::{SinkExt, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -16,7 +16,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until, timeout};
-use tokio_stream::StreamExt;
 use tokio_util::codec::Framed;
 
 /// How far a hand-off had come when it broke.
--- a/gateway/src/take_in.rs
+++ b/gateway/src/take_in.rs
@@ -5,7 +5,7 @@
 use crate::admit::admit;
 use crate::http::{Answer, Asked, ClientSide, What};
 use crate::route::Hall;
-use futures_util::SinkExt;
+use futures_util::{SinkExt, StreamExt};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,7 +14,6 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use tokio_stream::StreamExt;
 use tokio_util::codec::Framed;
 
 /// A connection without a whole message for this long is closed; answers that a client does not read likewise.
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -21,6 +21,15 @@
     pub idle_close: f64,
 }
 
+/// Takes one value of a host's load report over, by the name that the settings give it.
+pub fn figure(load: &mut Load, name: &str, value: f64) {
+    match name {
+        "busy" | "util" => load.util = Some(value),
+        "lat_ms" | "latency_ms" => load.service = Some(value / 1e3),
+        _ => {}
+    }
+}
+
 struct Facts(BTreeMap<String, String>);
 
 impl Facts {
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -79,10 +79,8 @@
         let mut load = Load::default();
         for n in 0..count {
             let value = f64::from(record.f32("report")?);
-            match self.known.get(&who).and_then(|k| k.2.get(n)).map(String::as_str) {
-                Some("busy") => load.util = Some(value),
-                Some("lat_ms") => load.service = Some(value / 1e3),
-                _ => {}
+            if let Some(name) = self.known.get(&who).and_then(|k| k.2.get(n)) {
+                archlink_settings::figure(&mut load, name, value);
             }
         }
         Ok(load)
