--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -57,10 +57,12 @@
             to.extend_from_slice(b"*1\r\n$4\r\nPING\r\n");
             return Ok(());
         };
-        let (name, amount) = (format!("{:016x}", call.name), format!("{}", call.amount));
-        let keep = format!("{}", (call.keep * 1e3).round().clamp(1.0, 60_000.0));
-        to.extend_from_slice(b"*4\r\n$7\r\nINCRTTL\r\n");
-        for word in [name, amount, keep] {
+        let mut word = String::with_capacity(32);
+        let keep = (call.keep * 1e3).round().clamp(1.0, 60_000.0);
+        write!(to, "*4\r\n$7\r\nINCRTTL\r\n$16\r\n{:016x}\r\n", call.name).map_err(io::Error::other)?;
+        for value in [call.amount, keep] {
+            word.clear();
+            write!(word, "{value}").map_err(io::Error::other)?;
             write!(to, "${}\r\n{word}\r\n", word.len()).map_err(io::Error::other)?;
         }
         Ok(())
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -197,7 +197,9 @@
 const SRV_DECLINED: &str = "srv-declined";
 
 fn lines(headers: &[Header]) -> Option<Lines> {
-    let mut found = Lines { length: None, chunked: false, close: false, keep: false, passed: Vec::new() };
+    // Room for the usual lines at once.
+    let passed = Vec::with_capacity(256);
+    let mut found = Lines { length: None, chunked: false, close: false, keep: false, passed };
     for header in headers {
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is("content-length") {
