--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -131,3 +131,23 @@
         std::process::exit(2);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_part_that_panics_is_started_anew() {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        let runtime = builder.enable_all().build_local(LocalOptions::default()).unwrap();
+        let starts = Rc::new(Cell::new(0));
+        let counted = starts.clone();
+        let part = move || {
+            counted.set(counted.get() + 1);
+            let nth = counted.get();
+            async move { assert!(nth == 3, "a part fails on purpose") }
+        };
+        runtime.block_on(steadily("test", part));
+        assert_eq!(starts.get(), 3);
+    }
+}
