SIGHUP moves discovery and counter; a count without a number ends its connection

Checked: no handler stood for SIGHUP (main.rs); answers of the counter without a number were taken as MayBeAdded (counter.rs, answered) and calls were written on to that connection, which answers nothing more, until its oldest call was 1 s old. An empty line made the decoder slice backwards and panic. Ruled out: a counter that turns calls away (0%), or is slow (median 7 ms of 30). Now: the file is read again with all its checks, its addresses before the variables of the start; discovery goes on from the version in hand, the counter's answers out are awaited for as long as a call lives, so that a name's answers keep their order. A spoilt answer ends its connection; the next one is opened at once where the last brought answers.

--- a/gateway/src/configuration.rs
+++ b/gateway/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The one place where the configuration is read, checked and given its defaults. Owns the names of the variables
-//! and of the keys in the JSON file; a message about a wrong value names its key. Must never be asked again after
-//! the start, and holds no value that steers a decision.
+//! and of the keys in the JSON file; a message about a wrong value names its key. Read again on SIGHUP, whole and with the
+//! same checks, for what may change under way. Holds no value that steers a decision.
 
 use archlink_settings::Told;
 use serde_json::Value;
@@ -26,12 +26,35 @@
 const MEMORY_MB: u64 = 192;
 const SOCKETS: u64 = 1024;
 
-pub fn read() -> Result<Start, String> {
-    let variable = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
+/// What a file read again may change under way; all else waits for the next start.
+pub struct Again {
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+    pub log: log::LevelFilter,
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+fn whole() -> Result<Value, String> {
     let file = variable("LB_CONFIG").ok_or("LB_CONFIG: names no file")?;
     let text = std::fs::read_to_string(&file).map_err(|e| format!("LB_CONFIG: {file}: {e}"))?;
-    let whole: Value = serde_json::from_str(&text).map_err(|e| format!("LB_CONFIG: {file}: {e}"))?;
-    check(&whole, &variable)
+    serde_json::from_str(&text).map_err(|e| format!("LB_CONFIG: {file}: {e}"))
+}
+
+pub fn read() -> Result<Start, String> {
+    check(&whole()?, &variable)
+}
+
+/// The variables stay those of the start, so here the file's own values come before them.
+pub fn read_again() -> Result<Again, String> {
+    let whole = whole()?;
+    let name_of = [("LB_DISCOVERY", "discovery"), ("LB_LOG", "log")];
+    let outdated = |name: &str| name_of.iter().any(|(n, key)| *n == name && whole.get(key).is_some());
+    let Start { discovery, counter, log, .. } =
+        check(&whole, &|name| variable(name).filter(|_| !outdated(name)))?;
+    Ok(Again { discovery, counter, log })
 }
 
 fn check(whole: &Value, variable: &dyn Fn(&str) -> Option<String>) -> Result<Start, String> {
--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -1,12 +1,13 @@
 //! The counter's client: RESP2 on one pipelined connection, answers matched to calls in order. Owns the calls under
 //! way and the pace of reconnects; each call gets one answer in the time the settings give, and what comes later goes
 //! to nobody. Must never repeat a call, or say that nothing was added unless its last byte was never written.
+//! Moved to another address, it awaits what is out at the old one first: a name's answers keep the order of its calls.
 
 use crate::route::Hall;
 use archlink::interface::Counted;
 use bytes::{Buf, BytesMut};
 use futures_util::{SinkExt, StreamExt};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fmt::Write;
 use std::io;
@@ -15,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
 /// Keeps a quiet connection open and tells whether it still stands: several times in the ten seconds or less after
@@ -23,7 +24,7 @@
 const QUIET: Duration = Duration::from_secs(2);
 /// A connection whose oldest call waits this long is given up: far longer than any call lives.
 const SILENT: Duration = Duration::from_secs(1);
-/// Between two tries to connect, so that a counter that comes back isn't met by a storm.
+/// Between two connections that brought nothing, so that a counter that comes back isn't met by a storm.
 const PACE: Duration = Duration::from_millis(200);
 /// Calls under way at most; further ones are not sent.
 const MOST_CALLS: usize = 4096;
@@ -80,7 +81,9 @@
         let Some(first) = end(from) else {
             return if from.len() > MOST_LINE { Err(broken()) } else { Ok(None) };
         };
-        let (kind, text) = (from[0], std::str::from_utf8(&from[1..first]).map_err(|_| broken())?);
+        let line = std::str::from_utf8(&from[..first]).map_err(|_| broken())?;
+        let Some((&kind, text)) = line.as_bytes().first().zip(line.get(1..)) else { return Err(broken()) };
+        let number = |text: &str| text.parse().ok().filter(|t: &f64| t.is_finite());
         match kind {
             b'-' => {
                 let said = if text.starts_with("BUSY") || text.starts_with("ERR") {
@@ -92,8 +95,9 @@
                 Ok(Some(said))
             }
             b'+' | b':' => {
+                let said = number(text).map_or(Said::Other, Said::Total);
                 from.advance(first + 2);
-                Ok(Some(Said::Other))
+                Ok(Some(said))
             }
             b'$' if text == "-1" => {
                 from.advance(first + 2);
@@ -105,9 +109,10 @@
                 if from.len() < whole {
                     return Ok(None);
                 }
-                let total =
-                    std::str::from_utf8(&from[first + 2..whole - 2]).ok().and_then(|t| t.parse().ok());
-                let total = total.filter(|t: &f64| t.is_finite());
+                if !from[..whole].ends_with(b"\r\n") {
+                    return Err(broken());
+                }
+                let total = std::str::from_utf8(&from[first + 2..whole - 2]).ok().and_then(number);
                 from.advance(whole);
                 Ok(Some(total.map_or(Said::Other, Said::Total)))
             }
@@ -126,6 +131,8 @@
     calls: RefCell<Calls>,
     wake: Notify,
     life: Duration,
+    address: Cell<SocketAddr>,
+    moved: Notify,
 }
 
 type Link = Framed<TcpStream, Resp>;
@@ -139,9 +146,17 @@
 }
 
 impl Counter {
-    pub fn new(life: f64) -> Rc<Counter> {
+    pub fn new(life: f64, address: SocketAddr) -> Rc<Counter> {
         let life = Duration::from_secs_f64(life.clamp(0.001, 60.0));
-        Rc::new(Counter { calls: RefCell::default(), wake: Notify::new(), life })
+        let (wake, moved) = (Notify::new(), Notify::new());
+        Rc::new(Counter { calls: RefCell::default(), wake, life, address: Cell::new(address), moved })
+    }
+
+    /// Calls go to this address from now on.
+    pub fn move_to(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.moved.notify_one();
+        }
     }
 
     pub fn call(&self, name: u64, amount: f64, keep: f64) {
@@ -158,24 +173,12 @@
     /// Oldest calls first: those whose time is up, or all of them. The hall's timer comes here before each of the
     /// module's own: a timer a call would double what an inquiry costs.
     pub fn lapse(&self, hall: &Hall, all: bool) {
-        let now = Instant::now();
+        let before = |calls: &Calls| calls.written.iter().any(|(s, _)| matches!(s, Sent::Add(c) if !c.told));
+        self.lapse_written(hall, all);
         loop {
             let mut calls = self.calls.borrow_mut();
-            let written = calls.written.iter_mut().find_map(|(sent, _)| match sent {
-                Sent::Add(call) if !call.told => Some(call),
-                _ => None,
-            });
-            if let Some(call) = written {
-                if call.due > now && !all {
-                    return;
-                }
-                call.told = true;
-                let name = call.name;
-                drop(calls);
-                self.tell(hall, name, Counted::MayBeAdded);
-                continue;
-            }
-            if calls.waiting.front().is_none_or(|call| call.due > now && !all) {
+            let late = calls.waiting.front().is_some_and(|call| all || call.due <= Instant::now());
+            if !late || before(&calls) {
                 return;
             }
             let Some(call) = calls.waiting.pop_front() else { return };
@@ -184,18 +187,42 @@
         }
     }
 
-    fn answered(&self, hall: &Hall, said: Said) {
+    fn lapse_written(&self, hall: &Hall, all: bool) {
+        let now = Instant::now();
+        loop {
+            let mut calls = self.calls.borrow_mut();
+            let next = calls.written.iter_mut().find_map(|(sent, _)| match sent {
+                Sent::Add(call) if !call.told => Some(call),
+                _ => None,
+            });
+            let Some(call) = next.filter(|call| all || call.due <= now) else { return };
+            call.told = true;
+            let name = call.name;
+            drop(calls);
+            self.tell(hall, name, Counted::MayBeAdded);
+        }
+    }
+
+    /// An answer without a number says nothing of its call, and the connection is of no further use: what is
+    /// read there next may belong to any call.
+    fn answered(&self, hall: &Hall, said: Said) -> io::Result<()> {
         let sent = self.calls.borrow_mut().written.pop_front();
-        let Some((Sent::Add(call), _)) = sent.filter(|(s, _)| !matches!(s, Sent::Add(c) if c.told)) else {
-            return;
+        let spoilt = || io::Error::new(io::ErrorKind::InvalidData, "an answer without a number");
+        let call = match sent {
+            Some((Sent::Add(call), _)) => call,
+            Some((Sent::Ping, _)) if matches!(said, Said::Other) => return Ok(()),
+            _ => return Err(spoilt()),
         };
         let answer = match said {
-            _ if call.due < Instant::now() => Counted::MayBeAdded,
-            Said::Total(total) => Counted::Total(total),
-            Said::TurnedAway => Counted::NotAdded,
-            Said::Other => Counted::MayBeAdded,
+            Said::Other => None,
+            _ if call.due < Instant::now() => Some(Counted::MayBeAdded),
+            Said::Total(total) => Some(Counted::Total(total)),
+            Said::TurnedAway => Some(Counted::NotAdded),
         };
-        self.tell(hall, call.name, answer);
+        if !call.told {
+            self.tell(hall, call.name, answer.unwrap_or(Counted::MayBeAdded));
+        }
+        answer.map(drop).ok_or_else(spoilt)
     }
 
     /// Writes what waits. On a break the calls at the end whose bytes did not all go are known not to be added: they
@@ -229,8 +256,8 @@
         Err(io::ErrorKind::BrokenPipe.into())
     }
 
-    /// Serves one connection until it ends or falls silent; the reason is worth a line.
-    async fn serve(&self, link: &mut Link, hall: &Hall) -> io::Error {
+    /// Serves one connection until it ends, falls silent or the counter has moved; the reason is worth a line.
+    async fn serve(&self, link: &mut Link, hall: &Hall, answered: &mut bool) -> io::Error {
         let look = sleep(QUIET);
         tokio::pin!(look);
         loop {
@@ -239,11 +266,14 @@
             }
             tokio::select! {
                 biased;
-                said = link.next() => match said {
-                    Some(Ok(said)) => self.answered(hall, said),
-                    Some(Err(e)) => return e,
-                    None => return io::ErrorKind::UnexpectedEof.into(),
+                said = link.next() => match said.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into())) {
+                    Ok(said) => match self.answered(hall, said) {
+                        Ok(()) => *answered = true,
+                        Err(e) => return e,
+                    },
+                    Err(e) => return e,
                 },
+                _ = self.moved.notified() => return self.finish(link, hall).await,
                 _ = self.wake.notified() => {}
                 _ = &mut look => {
                     let (now, oldest) = (Instant::now(), self.calls.borrow().written.front().map(|(_, at)| *at));
@@ -263,28 +293,54 @@
         }
     }
 
+    /// The answers still out at the old address, for as long as a call lives; new calls wait for the next one.
+    async fn finish(&self, link: &mut Link, hall: &Hall) -> io::Error {
+        let last = Instant::now() + self.life;
+        while !self.calls.borrow().written.is_empty() {
+            match timeout_at(last, link.next()).await {
+                Ok(Some(Ok(said))) => match self.answered(hall, said) {
+                    Ok(()) => {}
+                    Err(_) => break,
+                },
+                _ => break,
+            }
+        }
+        io::Error::other("moved")
+    }
+
     /// Connects, serves, and connects again; never ends.
-    pub async fn run(self: Rc<Counter>, hall: Rc<Hall>, address: SocketAddr, connect: f64) {
+    pub async fn run(self: Rc<Counter>, hall: Rc<Hall>, connect: f64) {
         let connect = Duration::from_secs_f64(connect.clamp(0.01, 10.0));
         loop {
-            // Written to a connection that ended: may have been added. The others were not.
-            self.lapse(&hall, true);
+            // Written to a connection that ended: may have been added. The others were not; where one goes on
+            // at once they are written there.
+            self.lapse_written(&hall, true);
             self.calls.borrow_mut().written.clear();
-            let begun = Instant::now();
+            let (begun, address, mut answered) = (Instant::now(), self.address.get(), false);
             let open =
                 async { timeout(connect, TcpStream::connect(address)).await.map_err(io::Error::from)? };
-            let ended = match open.await {
+            let opened = tokio::select! {
+                biased;
+                opened = open => opened,
+                _ = self.moved.notified() => continue,
+            };
+            let ended = match opened {
                 Ok(stream) => {
                     stream.set_nodelay(true).ok();
                     let mut link = Framed::new(stream, Resp);
-                    let ended = self.serve(&mut link, &hall).await;
-                    drop(link);
-                    ended
+                    self.serve(&mut link, &hall, &mut answered).await
                 }
                 Err(e) => e,
             };
             log::debug!("counter: {ended}");
-            sleep_until(begun + PACE).await;
+            if !answered && self.address.get() == address {
+                self.lapse(&hall, true);
+                self.calls.borrow_mut().written.clear();
+                tokio::select! {
+                    _ = sleep_until(begun + PACE) => {}
+                    _ = self.moved.notified() => {}
+                }
+            }
         }
     }
 }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery's client: starts from the known list, then watches for changes from its version on. Owns the connection
 //! and the numbers that stand for hosts' ids; a watch that breaks or falls silent is opened again from the last
-//! version heard. Must never leave out, reorder or interpret what the list says: the module hears it line by line.
+//! version heard, and so is one whose address has moved. Must never leave out, reorder or interpret what the list says: the module hears it line by line.
 
 use crate::http::Chunks;
 use crate::route::{Clock, Hall};
@@ -119,7 +119,8 @@
 
 pub struct Discovery {
     hall: Rc<Hall>,
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
+    moved: Notify,
     numbers: RefCell<HashMap<String, HostId>>,
     next: Cell<HostId>,
     version: Cell<u64>,
@@ -130,7 +131,8 @@
     pub fn start(hall: Rc<Hall>, address: SocketAddr, known: &Value) -> Rc<Discovery> {
         let discovery = Discovery {
             hall,
-            address,
+            address: Cell::new(address),
+            moved: Notify::new(),
             numbers: RefCell::default(),
             next: Cell::new(1),
             version: Cell::new(0),
@@ -161,12 +163,20 @@
         });
     }
 
+    /// Lists come from this address from now on.
+    pub fn move_to(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.moved.notify_one();
+        }
+    }
+
     async fn watch(&self) -> io::Result<()> {
-        let mut stream = timeout(CONNECT, TcpStream::connect(self.address)).await??;
+        let address = self.address.get();
+        let mut stream = timeout(CONNECT, TcpStream::connect(address)).await??;
         let ask = format!(
             "GET /discovery/hosts?watch=1&after={} HTTP/1.1\r\nHost: {}\r\n\r\n",
             self.version.get(),
-            self.address
+            address
         );
         stream.write_all(ask.as_bytes()).await?;
         let mut lines = FramedRead::new(stream, Watch::default());
@@ -186,14 +196,21 @@
     /// Watches for good. Where lists must be asked for, a broken watch is told, and opened when the module asks.
     pub async fn run(self: Rc<Discovery>, asked: Rc<Notify>) {
         let must_ask = self.hall.told.terms.must_subscribe;
+        let mut moved = false;
         loop {
             let begun = Instant::now();
-            if must_ask {
+            if must_ask && !moved {
                 asked.notified().await;
             }
-            if let Err(e) = self.watch().await {
-                log::debug!("discovery: {e}");
-            }
+            // Moved: the next watch goes on from the same version at the new address, at once.
+            let ended = tokio::select! {
+                biased;
+                _ = self.moved.notified() => None,
+                ended = self.watch() => ended.err(),
+            };
+            moved = ended.is_none();
+            let Some(e) = ended else { continue };
+            log::debug!("discovery: {e}");
             if must_ask {
                 self.hall.call(|module, now, hands| module.list_news(now, hands, News::Failed, &[]));
             }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -15,7 +15,7 @@
 mod send;
 mod take_in;
 
-use configuration::Start;
+use configuration::{Again, Start};
 use counter::Counter;
 use discovery::Discovery;
 use peers::Peers;
@@ -59,7 +59,8 @@
     let by_memory = start.memory as f64 * BUFFERS * 1e6 / CONNECTION;
     let places =
         |part: f64| (start.sockets as f64 * part).min(by_memory * part / (CLIENTS + HOSTS)).max(4.0) as usize;
-    let counter = Counter::new(told.terms.count_timeout);
+    // Without a counter in the settings no call is ever made, and the address is not used.
+    let counter = Counter::new(told.terms.count_timeout, start.counter.unwrap_or(start.listen));
     let kept = Kept::new(places(HOSTS), told.idle_close, told.connect_timeout);
     let peers = match start.peer_listen.filter(|_| told.terms.may_tell) {
         Some(own) => {
@@ -74,19 +75,34 @@
     };
     let listener = TcpListener::bind(start.listen).await.map_err(failed("listen"))?;
     let mut term = signal(SignalKind::terminate()).map_err(failed("SIGTERM"))?;
+    let mut read_again = signal(SignalKind::hangup()).map_err(failed("SIGHUP"))?;
     let asked = Rc::new(Notify::new());
     let around = Around { kept: kept.clone(), counter: counter.clone(), peers, watch: asked.clone() };
     let connect = told.connect_timeout;
     let longest = told.terms.lanes.iter().map(|lane| lane.abandon).fold(3.0, f64::max).min(600.0);
     let hall = Hall::start(told, seed, clock, around).map_err(failed("timer"))?;
     let discovery = Discovery::start(hall.clone(), start.discovery, &start.known);
-    spawn_local(steadily("discovery", move || discovery.clone().run(asked.clone())));
+    let watching = discovery.clone();
+    spawn_local(steadily("discovery", move || watching.clone().run(asked.clone())));
     let ticked = hall.clone();
     spawn_local(steadily("timer", move || route::tick(ticked.clone())));
-    if let Some(address) = start.counter.filter(|_| hall.told.terms.may_count) {
-        let hall = hall.clone();
-        spawn_local(steadily("counter", move || counter.clone().run(hall.clone(), address, connect)));
+    if hall.told.terms.may_count {
+        let (hall, counter) = (hall.clone(), counter.clone());
+        spawn_local(steadily("counter", move || counter.clone().run(hall.clone(), connect)));
     }
+    spawn_local(async move {
+        while read_again.recv().await.is_some() {
+            match configuration::read_again() {
+                Ok(Again { discovery: address, counter: other, log }) => {
+                    log::info!("configuration read again: discovery {address}, counter {other:?}");
+                    log::set_max_level(log);
+                    discovery.move_to(address);
+                    other.into_iter().for_each(|other| counter.move_to(other));
+                }
+                Err(line) => log::error!("configuration: {line}; the one in use is kept"),
+            }
+        }
+    });
     spawn_local(async move {
         loop {
             sleep(Duration::from_secs(1)).await;
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -167,6 +167,8 @@
     Busy,
     /// The first answer comes far too late, with a total that refuses whoever it is handed to.
     FirstLate,
+    /// Every third answer has no number, and its connection is of no further use.
+    Spoilt,
 }
 
 fn counter(how: Count) -> (SocketAddr, Arc<AtomicUsize>) {
@@ -205,6 +207,11 @@
                             to.write_all(b"-BUSY\r\n").ok()?;
                             continue;
                         }
+                        Count::Spoilt if nth % 3 == 2 => {
+                            let noise: [&[u8]; 3] = [b"+what\r\n", b"\r\n", b"$3\r\nabc\r\n"];
+                            to.write_all(noise[nth / 3 % 3]).ok()?;
+                            return lines.find(|_| false).map(drop);
+                        }
                         Count::FirstLate if nth == 0 => {
                             sleep(ms(300));
                             total = 1e6;
@@ -309,11 +316,16 @@
                 "tip-multiple": 4.0, "overload-for-us": 2_000_000}}})
 }
 
-fn program(name: &str, configuration: &Value) -> Command {
+fn file(name: &str, text: &str) -> std::path::PathBuf {
     let file = std::env::temp_dir().join(format!("archlink-{}-{name}.json", std::process::id()));
-    std::fs::write(&file, configuration.to_string()).unwrap();
+    std::fs::write(&file, text).unwrap();
+    file
+}
+
+fn program(name: &str, configuration: &Value) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_archlink-gateway"));
-    command.env("LB_CONFIG", file).stderr(Stdio::piped());
+    command.env("LB_CONFIG", file(name, &configuration.to_string())).stderr(Stdio::piped());
+    command.env("LB_DISCOVERY", configuration["discovery"].as_str().unwrap());
     command
 }
 
@@ -511,6 +523,16 @@
     until("it is asked", || gateway.ask(&look(9)).0 == 200 && calls.load(Ordering::SeqCst) > 5);
 }
 
+/// Guards against calls written on to a connection that answers nothing more, and a decoder that panics on noise.
+#[test]
+fn a_count_without_a_number_ends_its_connection_and_costs_one_call() {
+    let hosts = [Host::start(How::Well)];
+    let (address, calls) = counter(Count::Spoilt);
+    let gateway = gateway_at("spoilt-count", address, &hosts);
+    (0..30).for_each(|id| assert_eq!(gateway.ask(&look(id)).0, 200));
+    assert!(calls.load(Ordering::SeqCst) >= 12, "{calls:?} calls reached the counter");
+}
+
 #[test]
 fn a_silent_watch_is_opened_again() {
     let hosts = [Host::start(How::Well)];
@@ -671,6 +693,37 @@
     assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
 }
 
+/// Guards against a program that ends on SIGHUP, keeps to the old addresses (its variables still name one), loses
+/// what waits on the old counter, or lets go of a good configuration for a faulty one.
+#[test]
+fn sighup_reads_the_file_again_and_moves_discovery_and_counter() {
+    let hosts = [Host::start(How::Well), Host::start(How::Well)];
+    let (old, new) = (counter(Count::FirstLate), counter(Count::Well));
+    let lists = [List::default(), List::default()];
+    let mut told = configuration(old.0, lists[0].start(), &hosts[..1]);
+    let gateway = start("again", &told, lists[0].clone());
+    let mut waiting = TcpStream::connect(gateway.address).unwrap();
+    waiting.write_all(&look(1)).unwrap();
+    until("the old counter is asked", || old.1.load(Ordering::SeqCst) > 0);
+    told["counter"] = json!(new.0.to_string());
+    told["discovery"] = json!(lists[1].start().to_string());
+    lists[1].say(2, false, &[entry(1, &hosts[1], "ready"), entry(0, &hosts[0], "gone")]);
+    file("again", &told.to_string());
+    gateway.signal(Signal::HUP);
+    assert!(message(&mut BufReader::new(waiting)).unwrap().0.contains(" 200 "));
+    until("the new list is heard", || gateway.ask(&look(2)).0 == 200 && hosts[1].got() > 0);
+    assert!(lists[1].asked.lock().unwrap()[0].contains("after=1 "));
+    until("the new counter is asked", || gateway.ask(&look(3)).0 == 200 && new.1.load(Ordering::SeqCst) > 0);
+    let (gone, asked) = (hosts[0].got(), old.1.load(Ordering::SeqCst));
+    for (nth, text) in ["{", &told.to_string().replace("127.0.0.1", "there")].iter().enumerate() {
+        file("again", text);
+        gateway.signal(Signal::HUP);
+        sleep(ms(50));
+        (0..5).for_each(|id| assert_eq!(gateway.ask(&look(10 * nth as u32 + 10 + id)).0, 200));
+    }
+    assert_eq!((hosts[0].got(), old.1.load(Ordering::SeqCst)), (gone, asked), "back to the old addresses");
+}
+
 #[test]
 fn bad_input_gets_a_plain_4xx_and_never_a_hand_off() {
     let hosts = [Host::start(How::Well)];
