--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -95,6 +95,22 @@
     QuickCheck::new().rng(Gen::from_size_and_seed(200, 3)).tests(60).quickcheck(property);
 }
 
+/// Where goals are short, a busy counter's answer after a tenth of one was taken for a silent counter's.
+#[test]
+fn a_busy_counter_is_waited_for_where_goals_are_short() {
+    let mut terms = quota();
+    terms.lanes.iter_mut().for_each(|lane| lane.goal = 0.21);
+    let mut world = World::new(terms, 5);
+    for _ in 0..20 {
+        let id = world.arrive(0, 0, 1, 1.0, 0.8);
+        world.pass(0.02);
+        assert_eq!(world.hand_offs(id), 0, "decided alone");
+        world.count_all();
+        assert_eq!(world.hand_offs(id), 1);
+        world.end(id, 0, Outcome::Honoured);
+    }
+}
+
 #[test]
 fn a_silent_counter_holds_nothing_up_and_opens_no_quota() {
     let mut world = World::new(quota(), 5);
