Figures out of range and ids still open get a 4xx; silence and floods end their connection

Lines at fault: http.rs (call) clamped units, spread and first instead of refusing them, took the first of two headers or customers of one name; admit.rs took any id; take_in.rs waited 75 s for a whole message and answered a flood one by one on its connection. Ruled out: lengths (400 and 413 came already), both lengths at once (400). Now out of range is 400, an id that is open, or was less than 2 s ago, 409; bad input ends its connection; one with no whole message for 2.5 s is closed; a full house closes first those who never asked.

--- a/gateway/src/admit.rs
+++ b/gateway/src/admit.rs
@@ -3,7 +3,7 @@
 //! client left. Must never answer an inquiry itself, nor drop one that the module still holds.
 
 use crate::http::{Answer, Call};
-use crate::route::{Hall, Open};
+use crate::route::Hall;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
@@ -13,28 +13,22 @@
     pub answer: oneshot::Receiver<Answer>,
 }
 
-pub fn admit(hall: &Rc<Hall>, call: Call) -> Admitted {
+/// None where an inquiry of the same id is open: it belongs to another client.
+pub fn admit(hall: &Rc<Hall>, call: Call) -> Option<Admitted> {
     let (sender, answer) = oneshot::channel();
     let mut inquiry = call.inquiry.clone();
-    let id = hall.call(|_, now, hands| {
-        let id = hands.number();
-        hands
-            .open
-            .insert(id, Open { until: now + inquiry.left, call: Rc::new(call), sent: 0, answer: sender });
-        id
-    });
-    inquiry.id = id;
+    inquiry.id = hall.call(|_, now, hands| hands.seat(call, now + inquiry.left, sender))?;
     // Its place is held from here on, so that it is given back whatever happens in between.
-    let admitted = Admitted { hall: hall.clone(), id, answer };
+    let admitted = Admitted { hall: hall.clone(), id: inquiry.id, answer };
     hall.call(|module, now, hands| module.arrived(now, hands, inquiry));
-    admitted
+    Some(admitted)
 }
 
 impl Drop for Admitted {
     fn drop(&mut self) {
         let id = self.id;
         self.hall.call(|module, now, hands| {
-            if hands.open.remove(&id).is_some() {
+            if hands.vacate(id).is_some() {
                 module.left(now, hands, id);
             }
         });
--- a/gateway/src/book.rs
+++ b/gateway/src/book.rs
@@ -57,7 +57,7 @@
             if let Some(reply) = reply.filter(|_| outcome == Outcome::Honoured) {
                 relay::honour(hands, inquiry, reply);
             }
-            let over = !hands.open.contains_key(&inquiry);
+            let over = !hands.is_open(inquiry);
             let took = now - at;
             module.ended(
                 now,
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -16,11 +16,14 @@
 pub const MOST_BODY: usize = 64 * 1024;
 const MOST_HEAD: usize = 16 * 1024;
 const MOST_HEADERS: usize = 64;
+const MOST_ID: usize = 256;
 
 /// One inquiry as a client sent it, its number not given yet; `passed` are the header lines that go on to the host
 /// as they came.
 #[derive(Debug)]
 pub struct Call {
+    /// The client's own name for it, fresh on every inquiry.
+    pub id: Rc<str>,
     pub inquiry: Inquiry,
     pub verb: &'static str,
     pub target: String,
@@ -230,9 +233,11 @@
     if found.chunked && found.length.is_some() { None } else { Some(found) }
 }
 
+/// A header that stands there once: of two, nobody could say which one the next reader goes by.
 fn header<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
-    std::str::from_utf8(found.value).ok().map(str::trim)
+    let mut found = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+    let (first, None) = (found.next()?, found.next()) else { return None };
+    std::str::from_utf8(first.value).ok().map(str::trim)
 }
 
 fn number(text: &str) -> Option<f64> {
@@ -241,7 +246,9 @@
 
 fn query<'a>(target: &'a str, name: &str) -> Option<&'a str> {
     let (_, query) = target.split_once('?')?;
-    query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name)).map(|(_, v)| v)
+    let mut found = query.split('&').filter_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name));
+    let (first, None) = (found.next()?, found.next()) else { return None };
+    Some(first.1)
 }
 
 /// The values of a list such as `units=2,spread=3,first=1`.
@@ -287,17 +294,21 @@
         let customer = customer.and_then(|hex| u64::from_str_radix(hex, 16).ok()).filter(|c| *c < 1 << 33);
         let customer = customer.ok_or(400u16)?;
         let left = field("Req-Deadline").and_then(number).ok_or(400u16)?;
-        if field("Req-Id").is_none_or(str::is_empty) {
-            return Err(400);
-        }
+        let id = field("Req-Id").filter(|id| (1..=MOST_ID).contains(&id.len())).ok_or(400u16)?;
         if effect == Effect::Receipted && field("Idempotency-Key").is_none_or(str::is_empty) {
             return Err(400);
         }
-        let weight = field("X-Weight").unwrap_or("");
-        let of_weight = |name, absent: f64| match listed(weight, name) {
-            Some(text) => number(text).ok_or(400u16),
-            None => Ok(absent),
+        // Out of its range a figure would cost the customer named here what others ask for.
+        let terms = &self.told.terms;
+        let weight = match request.headers.iter().any(|h| h.name.eq_ignore_ascii_case("X-Weight")) {
+            true => field("X-Weight").ok_or(400u16)?,
+            false => "",
         };
+        let units = listed(weight, "units").map_or(Some(1.0), number);
+        let units = units.filter(|n| *n > 0.0 && *n <= terms.most_units.max(1.0)).ok_or(400u16)?;
+        let whole = |name, absent: u32| listed(weight, name).map_or(Some(absent), |text| text.parse().ok());
+        let spread = whole("spread", 1).filter(|n| (1..=terms.gateways).contains(n)).ok_or(400u16)?;
+        let first = whole("first", 0).filter(|n| *n < terms.gateways).ok_or(400u16)?;
         let inquiry = Inquiry {
             id: 0,
             lane,
@@ -305,11 +316,11 @@
             customer,
             // No client waits a day; and a time must stay one that clocks can add.
             left: left.min(86_400.0),
-            units: of_weight("units", 1.0)?.min(1e6),
-            spread: of_weight("spread", 1.0)?.clamp(1.0, 1e6) as u32,
-            first: of_weight("first", 0.0)?.min(1e6) as u32,
+            units,
+            spread,
+            first,
         };
-        Ok(Call { inquiry, verb, target: target.to_string(), passed, body: Bytes::new() })
+        Ok(Call { id: id.into(), inquiry, verb, target: target.to_string(), passed, body: Bytes::new() })
     }
 }
 
@@ -372,6 +383,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -110,8 +110,8 @@
         }
     });
     let (stage, stages) = watch::channel(Stage::Serving);
-    let (open, make_room) = (Cell::new(0), Notify::new());
-    let door = Rc::new(Door { hall, stage: stages, open, most: places(CLIENTS), make_room });
+    let (open, strangers, make_room) = (Cell::new(0), Cell::new(0), [Notify::new(), Notify::new()]);
+    let door = Rc::new(Door { hall, stage: stages, open, most: places(CLIENTS), strangers, make_room });
     let (taking, listener) = (door.clone(), Rc::new(listener));
     let listening =
         spawn_local(steadily("listener", move || take_in::listen(taking.clone(), listener.clone())));
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 
 /// Ends an inquiry; without effect where it has ended before.
 pub fn end(hands: &mut Hands, inquiry: u32, answer: Answer) {
-    if let Some(open) = hands.open.remove(&inquiry) {
+    if let Some(open) = hands.vacate(inquiry) {
         // The client may be leaving at this moment: then nobody waits any more.
         open.answer.send(answer).ok();
     }
--- a/gateway/src/route.rs
+++ b/gateway/src/route.rs
@@ -14,7 +14,7 @@
     Itimerspec, TimerfdClockId, TimerfdFlags, TimerfdTimerFlags, Timespec, timerfd_create, timerfd_settime,
 };
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -59,12 +59,38 @@
     pub answer: oneshot::Sender<Answer>,
 }
 
+/// The ids of open inquiries, and for a while of those just closed: their clients may not have read the answer, and
+/// what else comes by that name is somebody else's. Bounded by time and by number.
+#[derive(Default)]
+struct Ids {
+    held: HashSet<Rc<str>>,
+    closed: VecDeque<(f64, Rc<str>)>,
+}
+
+impl Ids {
+    /// False where the id is held already.
+    fn hold(&mut self, id: &Rc<str>) -> bool {
+        self.held.insert(id.clone())
+    }
+
+    fn close(&mut self, now: f64, id: Rc<str>) {
+        const WHILE: f64 = 2.0;
+        const MOST: usize = 2048;
+        self.closed.push_back((now, id));
+        while self.closed.len() > MOST || self.closed.front().is_some_and(|(at, _)| at + WHILE < now) {
+            let Some((_, id)) = self.closed.pop_front() else { return };
+            self.held.remove(&id);
+        }
+    }
+}
+
 /// What the module's actions reach.
 pub struct Hands {
     hall: Weak<Hall>,
     clock: Clock,
     next: u32,
-    pub open: HashMap<u32, Open>,
+    open: HashMap<u32, Open>,
+    ids: Ids,
     /// Hand-offs out; dropping or using the sender calls one off.
     pub out: HashMap<(u32, u16), oneshot::Sender<()>>,
     pub hosts: HashMap<HostId, SocketAddr>,
@@ -113,9 +139,25 @@
 }
 
 impl Hands {
-    pub fn number(&mut self) -> u32 {
+    /// Gives an inquiry its number and place; none where one of the same id is open.
+    pub fn seat(&mut self, call: Call, until: f64, answer: oneshot::Sender<Answer>) -> Option<u32> {
+        if !self.ids.hold(&call.id) {
+            return None;
+        }
         self.next = self.next.wrapping_add(1);
-        self.next
+        self.open.insert(self.next, Open { until, call: Rc::new(call), sent: 0, answer });
+        Some(self.next)
+    }
+
+    /// Takes an inquiry's place back; none where it has ended before.
+    pub fn vacate(&mut self, inquiry: u32) -> Option<Open> {
+        let open = self.open.remove(&inquiry)?;
+        self.ids.close(self.clock.now(), open.call.id.clone());
+        Some(open)
+    }
+
+    pub fn is_open(&self, inquiry: u32) -> bool {
+        self.open.contains_key(&inquiry)
     }
 }
 
@@ -198,6 +240,7 @@
                 clock,
                 next: 0,
                 open: HashMap::new(),
+                ids: Ids::default(),
                 out: HashMap::new(),
                 hosts: HashMap::new(),
                 counter: counter.clone(),
--- a/gateway/src/take_in.rs
+++ b/gateway/src/take_in.rs
@@ -16,9 +16,10 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
-/// A connection without a whole message for this long is closed; answers that a client does not read likewise.
-const SILENT: Duration = Duration::from_secs(75);
-const UNREAD: Duration = Duration::from_secs(10);
+/// A connection without a whole message for this long is closed, said it nothing or half a message: within the 3 s
+/// that such a client is owed, and longer than usual clients' connections rest. Unread answers are waited on likewise.
+const SILENT: Duration = Duration::from_millis(2500);
+const UNREAD: Duration = Duration::from_secs(3);
 
 /// Leaving: answers end their connections. Left: nothing new is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
@@ -34,20 +35,43 @@
     /// Connections open now, and most of them.
     pub open: Cell<usize>,
     pub most: usize,
-    /// Asks the connection that has been idle longest to close.
-    pub make_room: Notify,
+    /// Connections that have never asked anything, and are waited on.
+    pub strangers: Cell<usize>,
+    /// Asks the stranger, or the other connection, that has been idle longest to close.
+    pub make_room: [Notify; 2],
 }
 
 impl Door {
     fn stage(&self) -> Stage {
         *self.stage.borrow()
     }
+    /// Strangers go first: hundreds that only connect must not cost the connections of those who ask.
+    fn make_room(&self) {
+        let known = usize::from(self.strangers.get() == 0);
+        self.make_room[known].notify_one();
+    }
     /// Can serve: there is a host to send to.
     fn up(&self) -> bool {
         self.stage() == Stage::Serving && self.hall.call(|_, _, hands| !hands.hosts.is_empty())
     }
 }
 
+/// Counts a connection among the strangers for as long as it is waited on as one.
+struct Stranger<'a>(&'a Door);
+
+impl Stranger<'_> {
+    fn count(door: &Door) -> Stranger<'_> {
+        door.strangers.set(door.strangers.get() + 1);
+        Stranger(door)
+    }
+}
+
+impl Drop for Stranger<'_> {
+    fn drop(&mut self) {
+        self.0.strangers.set(self.0.strangers.get() - 1);
+    }
+}
+
 struct Seat(Rc<Door>);
 
 impl Seat {
@@ -80,7 +104,7 @@
             }
         }
         while door.open.get() >= door.most {
-            door.make_room.notify_one();
+            door.make_room();
             sleep(Duration::from_millis(1)).await;
         }
     }
@@ -92,27 +116,34 @@
     let mut framed = Framed::new(stream, ClientSide::new(door.hall.told.clone()));
     let mut stage = door.stage.clone();
     let mut early: Option<Asked> = None;
+    let mut known = false;
     loop {
         let asked = match early.take() {
             Some(asked) => asked,
-            None => tokio::select! {
-                biased;
-                asked = framed.next() => match asked {
-                    Some(Ok(asked)) => asked,
-                    _ => return,
-                },
-                _ = door.make_room.notified() => return,
-                _ = stage.wait_for(|stage| *stage == Stage::Left) => return,
-                _ = sleep(SILENT) => return,
-            },
+            None => {
+                let _stranger = (!known).then(|| Stranger::count(&door));
+                tokio::select! {
+                    biased;
+                    asked = framed.next() => match asked {
+                        Some(Ok(asked)) => asked,
+                        _ => return,
+                    },
+                    _ = door.make_room[usize::from(known)].notified() => return,
+                    _ = stage.wait_for(|stage| *stage == Stage::Left) => return,
+                    _ = sleep(SILENT) => return,
+                }
+            }
         };
+        known = true;
         let Asked { what, close } = asked;
-        let bad = matches!(what, What::Bad(_));
-        let answer = match what {
-            What::Up => Answer::Up(door.up()),
-            What::Bad(status) => Answer::Bad(status),
-            What::Inquiry(call) => {
-                let mut admitted = admit(&door.hall, *call);
+        let admitted = match what {
+            What::Up => Err(Answer::Up(door.up())),
+            What::Bad(status) => Err(Answer::Bad(status)),
+            What::Inquiry(call) => admit(&door.hall, *call).ok_or(Answer::Bad(409)),
+        };
+        let answer = match admitted {
+            Err(answer) => answer,
+            Ok(mut admitted) => {
                 loop {
                     tokio::select! {
                         biased;
@@ -129,7 +160,9 @@
                 }
             }
         };
-        let close = early.is_none() && (close || door.stage() != Stage::Serving);
+        // Bad input ends its connection, whatever else was sent on it: floods of it cost one answer a connection.
+        let bad = matches!(answer, Answer::Bad(_));
+        let close = bad || early.is_none() && (close || door.stage() != Stage::Serving);
         match timeout(UNREAD, framed.send((answer, close))).await {
             Ok(Ok(())) if !close => {}
             Ok(Ok(())) if bad => return linger(framed.into_inner()).await,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,8 @@
-//! Every decision of archlink. The types and the trait `Outward` stand in `interface.rs`. A front makes a `Gateway`
-//! with `start` and then calls it with what happens, in order, with its clock. Each call acts through the `Outward`
-//! handed in. A gateway shares nothing with others; the same calls give the same actions. Each inquiry goes
-//! `arrived` -> quota (`ask_tier`, `ask_open`) -> `send_on` -> `after_hand_off` -> an answer; what comes after a
-//! wait is left behind as a closure that is handed the result.
+//! Every decision of archlink. The types and the trait `Outward` stand in `interface.rs`. A front makes a
+//! `Gateway` with `start` and then calls it with what happens, in order, with its clock. Each call acts through
+//! the `Outward` handed in. A gateway shares nothing; the same calls give the same actions. Each inquiry goes
+//! `arrived` -> quota (`ask_tier`, `ask_open`) -> `send_on` -> `after_hand_off` -> an answer; what comes after
+//! a wait is left behind as a closure that is handed the result.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
@@ -603,8 +603,8 @@
         self.terms.may_count && (self.ask_share >= 1.0 || self.chance.rand_float() < self.ask_share)
     }
 
-    /// Longest wait for an answer: a twentieth of the shortest goal time, no longer than calls live. Where goals
-    /// are short, what a call takes on a busy counter, well under a goal time: else it is taken for silent.
+    /// Longest wait for an answer: a twentieth of the shortest goal time, no longer than calls live. Where
+    /// goals are short, what a call takes on a busy counter: else it is taken for silent.
     fn wait_bound(&self) -> f64 {
         const BUSY_COUNTER: f64 = 0.03;
         let goal = self.lanes.iter().map(|l| l.goal).fold(f64::INFINITY, f64::min);
