Deciding alone, a customer may owe up to a burst more as its last total grows old

A probe of each refusal's reason, two seconds at a time: load refuses next to none (0 to 10 of 400), deciding alone 30 to 250, most while the counter is refused or crowded (it is gone from 5 to 16 s; after that it takes 350 to 480 calls a second where 600 are wanted). At fault: decide_alone (logic.rs). One inquiry of a few units at a spread of four owes the whole burst, so a second one by chance is refused though the customer is far inside its quota.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -527,11 +527,9 @@
         let (taken, force, active, whole) = (name(2), name(4), tier.active, tier.active + tier.cooldown);
         let after_force: AfterCount = Box::new(move |gateway, out, total| {
             let running = total.is_some_and(|t| t > 0.5);
-            if running {
-                gateway.enter(customer, next_tier, active * RECHECK, 0.0);
-            } else {
-                gateway.enter(customer, next_tier, 0.0, (whole * RECHECK).min(active));
-            }
+            let rest = (whole * RECHECK).min(active);
+            let (force, taken) = if running { (active * RECHECK, 0.0) } else { (0.0, rest) };
+            gateway.enter(customer, next_tier, force, taken);
             gateway.go_on(out, id, next_tier, running, wait);
         });
         let after_taken: AfterCount = Box::new(move |gateway, out, total| match total {
@@ -547,11 +545,10 @@
     }
 
     fn go_on(&mut self, out: &mut dyn Outward, id: u32, k: usize, entered: bool, wait: f64) {
-        if !self.open.contains_key(&id) {
-        } else if entered {
-            self.ask_tier(out, id, k);
-        } else {
-            self.beyond(out, id, k, wait);
+        match (self.open.contains_key(&id), entered) {
+            (false, _) => {}
+            (_, true) => self.ask_tier(out, id, k),
+            (_, false) => self.beyond(out, id, k, wait),
         }
     }
 
@@ -571,7 +568,8 @@
 
     /// Without the counter a gateway goes by the room it last saw: it drains on, and each own inquiry stands
     /// for the others' too, by the share that comes through here, into debt if need be: one a minute of a
-    /// customer spread over fifty gateways is let in. Could harm where the share is far too low.
+    /// customer spread over fifty gateways is let in. Could harm where the share is far too low. What comes here
+    /// is a few inquiries by chance: the older the last total, the more may be owed ahead, up to a burst.
     fn decide_alone(&mut self, out: &mut dyn Outward, id: u32) {
         // A share learnt from one closed window may be next to nothing; thousands of gateways are unlikely.
         const LEAST_SHARE: f64 = 0.001;
@@ -580,9 +578,10 @@
         let Some(known) = self.customers.get_mut(&customer) else { return };
         let cost = units / known.share.max(LEAST_SHARE);
         let slide = &mut known.slides[0];
-        let grown = slide.room + (self.now - slide.at) * rate;
+        let since = (self.now - slide.at) * rate;
+        let grown = slide.room + since;
         let room = (grown - slide.ahead).min(burst);
-        if room + 1e-9 >= cost.min(burst.max(units)) {
+        if room + since.min(burst) + 1e-9 >= cost.min(burst.max(units)) {
             slide.ahead = grown - room + cost;
             return self.send_on(out, id);
         }
