A link to the counter that brings nothing for two lives of a call is given up

Logged: 540 calls without an answer, 18 lapses, none turned away, 63 links that fell silent; ruled out a crowded or dead counter, spoilt answers, hosts. At fault: counter.rs gave a link up after four lives of a call, sixteen calls later.

--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -24,7 +24,7 @@
 const QUIET: Duration = Duration::from_secs(2);
 /// A connection that has brought nothing for so many lives of a call while one waits is given up: a busy counter's
 /// answers come late, but they come.
-const SILENT: u32 = 4;
+const SILENT: u32 = 2;
 /// Between two connections that brought nothing, so that a counter that comes back isn't met by a storm.
 const PACE: Duration = Duration::from_millis(200);
 /// Calls under way at most; further ones are not sent.
