Each gateway among many turns to a part of the hosts; its bound follows what is out

`pick` and `any_room` went over all hosts; the fleet's limit grew to three out and no further, whatever a gateway's traffic (`Host { out: 1.0 }` in `start`): 19 to 35% of the units were turned away for no room while hosts' cores were 58 to 68% busy (a probe that logged each decision of every 13th customer beside the true store).

Change: `draw_near`: the first ready hosts in an order of the gateway's own (host id and its number, mixed), as many as make thirty gateways a host, twelve at least; all of them where gateways are few. First and least limits and the floor go by the gateways that share a host. A resting or released host gives its place to the next. The fleet's limit grows with what is out.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -174,6 +174,9 @@
     rests: u32,
     rest_until: f64,
     credit: f64,
+    /// Place in this gateway's own order of hosts, and whether it is among those it turns to.
+    place: u64,
+    near: bool,
 }
 
 pub struct Gateway {
@@ -185,6 +188,8 @@
     hosts: BTreeMap<HostId, Host>,
     /// All hosts as one, steered by every answer: what may be out at least, where a host's part is under one.
     fleet: Host,
+    /// Gateways that turn to one host, this one included.
+    sharing: f64,
     open: BTreeMap<u32, Open>,
     hands: BTreeMap<(u32, u16), (Due, AfterHandOff)>,
     customers: BTreeMap<u64, Customer>,
@@ -212,8 +217,8 @@
             now,
             chance: oorandom::Rand64::new(u128::from(seed)),
             hosts: BTreeMap::new(),
-            // Grows while under `out` and two, so to three or so, and falls to one where answers are late.
-            fleet: Host { out: 1.0, limit: 3.0, ..Host::default() },
+            fleet: Host { limit: 3.0, ..Host::default() },
+            sharing: 1.0,
             open: BTreeMap::new(),
             hands: BTreeMap::new(),
             customers: BTreeMap::new(),
@@ -292,11 +297,10 @@
         self.names.retain(|_, t| t.expires > now || !t.asked.is_empty());
         self.customers.retain(|_, c| c.seen + FORGET > now || c.out > 0.0);
         self.hosts.retain(|_, h| h.line.standing != Standing::Gone || h.out > 0.0);
+        self.draw_near();
     }
 
     pub fn list_news(&mut self, now: f64, out: &mut dyn Outward, news: News, lines: &[HostLine]) {
-        // Hand-offs out at a host at first, over all gateways: keeps a few cores busy.
-        const FIRST_LIMIT: f64 = 5.0;
         self.now = now;
         if news == News::Failed {
             self.after(1.0, Box::new(|_, out| out.subscribe()));
@@ -305,20 +309,46 @@
         if news != News::Changes {
             self.hosts.values_mut().for_each(|h| h.line.standing = Standing::Gone);
         }
-        let limit = FIRST_LIMIT / f64::from(self.terms.gateways.max(1));
         for line in lines {
             // Turns start at chance, or all gateways' rotations would fall on the same hosts at once.
             let (line, heard, credit) = (line.clone(), now, self.chance.rand_float());
-            let fresh = Host { line: line.clone(), limit, heard, credit, ..Host::default() };
+            let place = mix(line.host ^ mix(u64::from(self.terms.my_number) + 1));
+            let fresh = Host { line: line.clone(), heard, credit, place, ..Host::default() };
             match self.hosts.get_mut(&line.host) {
                 None => drop(self.hosts.insert(line.host, fresh)),
                 Some(host) if line.started > host.line.started => *host = Host { out: host.out, ..fresh },
                 Some(host) => host.line = line,
             }
         }
+        self.draw_near();
         self.rouse(out);
     }
 
+    /// Among many gateways each turns to some of the hosts only, the first ready ones in an order of its own. Guards
+    /// against connections used once, and against hosts of which nobody hears twice before they change. Few enough
+    /// to hear of, enough gateways a host that their uneven traffic evens out; a few gateways turn to all hosts.
+    fn draw_near(&mut self) {
+        const FIRST_LIMIT: f64 = 5.0;
+        const GATEWAYS_A_HOST: f64 = 30.0;
+        const LEAST_NEAR: f64 = 12.0;
+        let gateways = f64::from(self.terms.gateways.max(1));
+        let mut ready: Vec<_> =
+            self.hosts.iter().filter(|(_, h)| h.line.standing == Standing::Ready).collect();
+        ready.sort_by_key(|(id, h)| (h.rest_until > self.now, h.place, **id));
+        let all = ready.len() as f64;
+        let most = (GATEWAYS_A_HOST * all / gateways).ceil().max(LEAST_NEAR).min(all.max(1.0));
+        self.sharing = (gateways * most / all.max(1.0)).max(1.0);
+        let near: Vec<HostId> = ready.iter().take(most as usize).map(|(id, _)| **id).collect();
+        self.hosts.values_mut().for_each(|h| h.near = false);
+        for id in near {
+            let Some(host) = self.hosts.get_mut(&id) else { continue };
+            host.near = true;
+            if host.limit == 0.0 {
+                host.limit = FIRST_LIMIT / self.sharing;
+            }
+        }
+    }
+
     /// Share of its full capacity that a host has at least, by its age.
     fn warmth(&self, line: &HostLine) -> f64 {
         let (age, from) = (self.now - line.started, self.terms.cold_from.clamp(0.01, 1.0));
@@ -692,9 +722,9 @@
     fn any_room(&self) -> bool {
         // Never out less than this a warm host, over all gateways: keeps cores busy and builds no queue.
         const FLEET_LEAST: f64 = 2.0;
-        let least = FLEET_LEAST / f64::from(self.terms.gateways.max(1));
+        let least = FLEET_LEAST / self.sharing;
         let (mut out, mut sum, mut floor, mut any) = (0.0, 0.0, 0.0, false);
-        for host in self.hosts.values().filter(|h| self.allowed(h) > 0.0) {
+        for host in self.hosts.values().filter(|h| h.near && self.allowed(h) > 0.0) {
             let warmth = self.warmth(&host.line);
             (out, sum, floor) = (out + host.out, sum + host.limit * warmth, floor + least * warmth);
             any |= host.out + 1.0 <= self.allowed(host);
@@ -713,10 +743,12 @@
             (Some(sent), Group::Cell) => sent.cell == line.cell,
         };
         let mut fit: Vec<(HostId, f64, bool)> = Vec::new();
-        for (&id, host) in self.hosts.iter().filter(|(_, h)| h.out + 1.0 <= self.allowed(h)) {
+        // A repeat that is bound to a group may go to any host of it.
+        let near = |h: &Host| h.near || bound.is_some() && lane.fellows != Group::All;
+        for (&id, host) in self.hosts.iter().filter(|(_, h)| near(h) && h.out + 1.0 <= self.allowed(h)) {
             let tried = open.sent.iter().any(|s| s.host == id);
             if fellow(&host.line) && !open.sent.iter().any(|s| s.host == id && s.live) {
-                fit.push((id, host.limit * self.warmth(&host.line), tried));
+                fit.push((id, host.limit.max(1e-6) * self.warmth(&host.line), tried));
             }
         }
         let untried = fit.iter().any(|f| !f.2);
@@ -743,10 +775,11 @@
         // Least limit of a host, over all gateways: three keep one out at every tenth host, to see it mend.
         const LEAST_LIMIT: f64 = 0.3;
         let (now, part) = (self.now, (ended.took / goal).min(1.0));
-        let least = LEAST_LIMIT / f64::from(self.terms.gateways.max(1));
+        let least = LEAST_LIMIT / self.sharing;
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
         let since = now - host.heard;
         host.out = (host.out - 1.0).max(0.0);
+        self.fleet.out = (self.fleet.out - 1.0).max(0.0);
         let answered = [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome);
         host.heard = if answered { now } else { host.heard };
         // An error counts as a late answer: one that comes quickly must not draw more work. So does a reset:
@@ -793,6 +826,7 @@
             });
             self.after(length, step);
         }
+        self.draw_near();
         if now > self.traced_at + TRACE_EVERY {
             self.traced_at = now;
             let resting = self.hosts.values().filter(|h| h.rests > 0).count();
@@ -833,6 +867,7 @@
         let HostLine { zone, cell, .. } = to.line;
         open.sent.push(Sent { host, zone, cell, at: now, live: true, may_have_run: true });
         to.out += 1.0;
+        self.fleet.out += 1.0;
         let patience = self.lanes[open.lane].goal * PATIENCE;
         let due = self.after(patience, Box::new(move |gateway, out| gateway.impatient(out, id, nth)));
         let next: AfterHandOff = Box::new(move |gateway, out, how| gateway.after_hand_off(out, id, how));
@@ -989,7 +1024,11 @@
 
 /// Same name at every gateway: customer, what is counted and window fill 64 bits; mixed one to one.
 fn name(customer: u64, what: u64, index: u64) -> u64 {
-    let mut x = (customer << 31) | (what << 28) | (index & 0x0fff_ffff);
+    mix((customer << 31) | (what << 28) | (index & 0x0fff_ffff))
+}
+
+/// One to one, and without any order.
+fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -463,3 +463,50 @@
     world.pass(0.1);
     assert_eq!(world.hand_offs(other), 1, "a wait that is not over still rings");
 }
+
+/// Among hundreds of gateways each hand-off opened a connection of its own, and a host was heard of once in 20 s.
+#[test]
+fn among_many_gateways_each_turns_to_a_part_of_the_hosts_and_all_hosts_are_turned_to() {
+    let plans = vec![PlanTerms::default()];
+    let lines: Vec<HostLine> = (0..100).map(|n| line(n, Standing::Ready, 0.0)).collect();
+    let met = |number: u32, gateways: u32| {
+        let terms = Terms { gateways, my_number: number, plans: plans.clone(), ..terms() };
+        let mut world = World::new(terms, 0);
+        world.list(News::Whole, &lines);
+        let mut met = std::collections::BTreeMap::new();
+        for _ in 0..200 {
+            let id = world.arrive(0, 0, 1, 1.0, 2.5);
+            *met.entry(world.rules.taken[&id].hand_offs[0].host).or_insert(0) += 1;
+            world.pass(0.02);
+            world.end(id, 0, Outcome::Honoured);
+        }
+        met
+    };
+    assert_eq!(met(0, 3).len(), 100, "three gateways turn to all hosts");
+    let mut at_host = std::collections::BTreeMap::new();
+    for number in 0..300 {
+        let met = met(number, 300);
+        assert_eq!(met.len(), 12, "gateway {number}");
+        met.into_iter().for_each(|(host, times)| *at_host.entry(host).or_insert(0) += times);
+    }
+    assert_eq!(at_host.len(), 100, "no host is left out");
+    let (least, most) = (at_host.values().min().unwrap(), at_host.values().max().unwrap());
+    assert!(most <= &(least * 4), "{least} to {most} hand-offs a host");
+}
+
+/// A host that rests, drains or is gone gives its place to the next one in the gateway's order.
+#[test]
+fn a_host_out_of_the_rotation_gives_its_place_to_another() {
+    let terms = Terms { gateways: 300, plans: vec![PlanTerms::default()], ..terms() };
+    let mut world = World::new(terms, 60);
+    for _ in 0..40 {
+        let id = world.arrive(0, 0, 1, 1.0, 2.5);
+        let host = world.rules.taken[&id].hand_offs.last().unwrap().host;
+        world.end(id, 0, Outcome::ConnectFailed);
+        assert_eq!(world.hand_offs(id), 2, "another host is left");
+        assert_ne!(world.rules.taken[&id].hand_offs[1].host, host);
+        world.end(id, 1, Outcome::Honoured);
+        world.list(News::Changes, &[line(host - HOST, Standing::Gone, 0.0)]);
+    }
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+}
