A wide customer's window carries what the closed one left; the counter is asked again at once

A gateway sees such a customer once a minute, so `hear` fell back on the bound that takes all earlier use as come at the window's end; each such inquiry also read the closed window (8,000 of 30,000 calls in 5 s). On this site a call's life equals the wait, so each failed call lowered the part twice (lapse, end of life).

Change: of a customer on more than ten gateways, the one add that brings a window past a quarter of its limit reads the closed window, for all, and adds what it left undrained to the present name; a single total then tells (`hear_wide`). While only a part of the inquiries asks, such an add stands for the others' too. Answers within half of the wait raise the asking part by three tenths; a call counts once against it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -86,7 +86,7 @@
     held: f64,
     claimed: f64,
     confirmed: f64,
-    asked: VecDeque<(u64, f64, f64)>,
+    asked: VecDeque<(u64, f64, f64, bool)>,
 }
 
 /// One tier's slide as seen from here: the window and total last heard, and the room that was left then.
@@ -123,13 +123,30 @@
         *self = Slide { seen: true, index, total, room, at: now, ahead: 0.0, ..*self };
         room
     }
+
+    /// The same for a wide customer: what the closed window left undrained stands in `total`, and little was
+    /// seen here. Even use would drain in full, one burst at the window's end not at all.
+    fn hear_wide(&mut self, tier: &Tier, index: u64, gone: f64, total: f64, units: f64, now: f64) -> f64 {
+        // Half let more in beyond quotas where the counter takes half of the calls; nothing refused customers
+        // with half of their quota unused.
+        const GROWS: f64 = 0.25;
+        let room = (tier.limit * (1.0 + GROWS * gone) - total).min(tier.limit - units);
+        *self = Slide { seen: true, index, total, room, at: now, ahead: 0.0, ..*self };
+        room
+    }
 }
+/// A customer is wide from so many gateways on: its next inquiry rarely comes here while a window lasts.
+const WIDE: u32 = 10;
+/// Most that one add stands for, itself included: more is noise in a small plan's window.
+const MOST_STANDS_FOR: f64 = 2.5;
 /// Takebacks of other gateways in flight are at most a few inquiries.
 const LOST_UNITS: f64 = 4.0;
 
 #[derive(Default)]
 struct Customer {
     seen: f64,
+    /// Comes through too many gateways for any of them to see how it goes on.
+    wide: bool,
     /// Share of the customer's use that comes through this gateway.
     share: f64,
     slides: [Slide; 3],
@@ -152,8 +169,8 @@
     count_by: f64,
     sent: Vec<Sent>,
     holds_place: bool,
-    /// The window that took its units, for settling.
-    charged: Option<(u64, f64)>,
+    /// The window that took its units, for settling, and how many it took.
+    charged: Option<(u64, f64, f64)>,
 }
 
 struct Sent {
@@ -324,9 +341,9 @@
         self.rouse(out);
     }
 
-    /// Among many gateways each turns to some of the hosts only, the first ready ones in an order of its own. Guards
-    /// against connections used once, and against hosts of which nobody hears twice before they change. Few enough
-    /// to hear of, enough gateways a host that their uneven traffic evens out; a few gateways turn to all hosts.
+    /// Among many gateways each turns to some hosts only, the first ready ones in an order of its own. Guards
+    /// against connections used once and hosts of which nobody hears twice before they change: few enough to
+    /// hear of, and enough gateways a host that uneven traffic evens out. A few gateways turn to all hosts.
     fn draw_near(&mut self) {
         const FIRST_LIMIT: f64 = 5.0;
         const GATEWAYS_A_HOST: f64 = 30.0;
@@ -369,6 +386,7 @@
         let share = 1.0 / f64::from(spread.max(1));
         let fresh = || Customer {
             seen: now,
+            wide: spread > WIDE,
             share,
             slides: [Slide { room: terms.burst, at: now, ..Slide::default() }; 3],
             ceiling_at: now,
@@ -460,9 +478,16 @@
         if full.0 > now && units >= full.1 {
             return self.beyond(out, id, k, full.0 - now);
         }
-        self.tally(present, keep).held += units;
-        self.open.entry(id).and_modify(|o| o.charged = Some((present, keep)));
-        if !self.may_ask() {
+        // What is let on alone goes along with the next add to its name. A wide customer has none: there the
+        // adds of those that ask stand for the others' too.
+        let wide = self.customers[&customer].wide;
+        let stands_for = if wide { units * (1.0 / self.ask_share).min(MOST_STANDS_FOR) } else { units };
+        let asks = self.may_ask();
+        if asks || !wide {
+            self.tally(present, keep).held += stands_for;
+            self.open.entry(id).and_modify(|o| o.charged = Some((present, keep, stands_for)));
+        }
+        if !asks {
             return self.decide_alone(out, id);
         }
         let next: AfterCount = Box::new(move |gateway, out, total| match total {
@@ -476,22 +501,35 @@
     fn judge(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
         // Longest time without asking about a full window, since others may have taken adds back.
         const FULL_MOST: f64 = 1.0;
+        // Part of the limit from which on what the closed window left counts: calm customers stay below it.
+        const CARRY_FROM: f64 = 0.25;
         let now = self.now;
         let (customer, plan, units) = self.about(id);
+        let added = self.open[&id].charged.map_or(units, |c| c.2);
         let (tier, may_read) = (self.tiers[plan][k], self.may_ask());
         let Some(known) = self.customers.get_mut(&customer) else { return };
-        let slide = &mut known.slides[k];
+        let (wide, slide) = (known.wide, &mut known.slides[k]);
         let before = *slide;
-        let room = slide.hear(&tier, index, gone, total, units, now);
+        let room = match wide {
+            true => slide.hear_wide(&tier, index, gone, total, added, now) + added - units,
+            false => slide.hear(&tier, index, gone, total, units, now),
+        };
+        let crosses = total >= tier.limit * CARRY_FROM && total - added < tier.limit * CARRY_FROM;
+        if wide && crosses {
+            self.read_closed(out, id, k, None, index, gone);
+        }
         if room >= -1e-6 {
             return self.send_on(out, id);
         }
-        if may_read && slide.closed.is_none_or(|c| c.0 + 1 != index) && total <= 2.0 * tier.limit {
-            *slide = before;
-            return self.read_closed(out, id, k, total, index, gone);
+        let unread = before.closed.is_none_or(|c| c.0 + 1 != index);
+        if !wide && may_read && unread && total <= 2.0 * tier.limit {
+            self.customers.entry(customer).and_modify(|c| c.slides[k] = before);
+            return self.read_closed(out, id, k, Some(total), index, gone);
         }
-        slide.room += units;
-        slide.total -= units;
+        let Some(known) = self.customers.get_mut(&customer) else { return };
+        let slide = &mut known.slides[k];
+        slide.room += added;
+        slide.total -= added;
         // Room comes at the tier's rate; until then the gateway need not ask again.
         let wait = -room * tier.window / tier.limit;
         slide.full = (now + wait.min(FULL_MOST), units);
@@ -499,21 +537,36 @@
         self.beyond(out, id, k, wait);
     }
 
-    fn read_closed(&mut self, out: &mut dyn Outward, id: u32, k: usize, total: f64, index: u64, gone: f64) {
+    /// For the inquiry at hand, judged again at its total. Of a wide customer the one add that brings it
+    /// past `CARRY_FROM` reads for all gateways, and adds what the closed one left undrained to the present
+    /// name: a single total tells all, also where a customer is seen once a minute.
+    fn read_closed(
+        &mut self,
+        out: &mut dyn Outward,
+        id: u32,
+        k: usize,
+        at: Option<f64>,
+        index: u64,
+        gone: f64,
+    ) {
         // How far one closed window moves the share: a few windows settle it.
         const SHARE_STEP: f64 = 0.5;
         let (customer, plan, _) = self.about(id);
-        let keep = self.tiers[plan][k].window * 2.0 + 0.5;
-        let before = name(customer, k as u64, index - 1);
+        let tier = self.tiers[plan][k];
+        let keep = tier.window * 2.0 + 0.5;
+        let [before, present] = [index - 1, index].map(|index| name(customer, k as u64, index));
         let next: AfterCount = Box::new(move |gateway, out, read| {
             let mine = gateway.names.get(&before).map_or(0.0, |t| t.held);
             let Some(known) = gateway.customers.get_mut(&customer) else { return };
             let share = known.share;
             // A closed window that holds less than this gateway sent was lost: go by the own part and share.
-            let closed = match read {
-                Some(read) if read + 0.01 >= mine => read,
-                _ => mine / share,
+            let read = read.filter(|read| read + 0.01 >= mine);
+            let Some(total) = at else {
+                let left = read.map_or(0.0, |read| (read - tier.limit).clamp(0.0, tier.limit));
+                gateway.tally(present, keep).held += left;
+                return gateway.push(out, present, keep, None);
             };
+            let closed = read.unwrap_or(mine / share);
             known.slides[k].closed = Some((index - 1, closed));
             if closed > 0.0 && mine > 0.0 {
                 known.share += SHARE_STEP * ((mine / closed).min(1.0) - share);
@@ -523,13 +576,12 @@
             }
         });
         self.tally(before, keep);
-        self.push(out, before, keep, Some((id, next)));
+        self.push(out, before, keep, Some((if at.is_some() { id } else { u32::MAX }, next)));
     }
 
     fn take_back(&mut self, out: &mut dyn Outward, id: u32) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        let Some((name, keep)) = open.charged.take() else { return };
-        let units = open.units;
+        let Some((name, keep, units)) = open.charged.take() else { return };
         self.tally(name, keep).held -= units;
         // On a crowded counter it goes along with the next add: spare calls are the first to go.
         if self.ask_share >= 1.0 {
@@ -647,14 +699,15 @@
             return;
         }
         tally.claimed = tally.held;
-        tally.asked.push_back((serial, amount, now));
+        tally.asked.push_back((serial, amount, now, next.is_some()));
         out.count(name, amount, keep.min(59.0));
         if let Some((id, next)) = next {
             // All waits of an inquiry together stay within its own bound, short as its client's time may be.
-            let wait = self.open.get(&id).map_or(0.0, |o| o.count_by - now).clamp(0.0, self.wait_bound());
+            let bound = self.wait_bound();
+            let wait = self.open.get(&id).map_or(bound, |o| o.count_by - now).clamp(0.0, bound);
             let lapse: Step = Box::new(move |gateway, out| {
                 if let Some((_, next)) = gateway.waits.remove(&serial) {
-                    gateway.counter_was(out, false);
+                    gateway.counter_was(out, None);
                     next(gateway, out, None);
                 }
             });
@@ -666,7 +719,7 @@
     pub fn counted(&mut self, now: f64, out: &mut dyn Outward, name: u64, answer: Counted) {
         self.now = now;
         let Some(tally) = self.names.get_mut(&name) else { return };
-        let Some((serial, amount, at)) = tally.asked.pop_front() else { return };
+        let Some((serial, amount, at, asker)) = tally.asked.pop_front() else { return };
         let told = if let Counted::Total(total) = answer { Some(total) } else { None };
         match answer {
             Counted::Total(total) => {
@@ -682,24 +735,35 @@
             Counted::MayBeAdded => tally.confirmed += amount.min(0.0),
         }
         // Late totals have lapsed already; a call cut off in time says nothing of how quick the counter is.
-        let in_time = now - at <= self.wait_bound();
-        if in_time != (answer == Counted::MayBeAdded) || answer == Counted::NotAdded {
-            self.counter_was(out, told.is_some());
+        let (waited, bound) = (self.waits.remove(&serial), self.wait_bound());
+        let in_time = now - at <= bound;
+        let lapsed = asker && waited.is_none();
+        if !lapsed && (in_time != (answer == Counted::MayBeAdded) || answer == Counted::NotAdded) {
+            self.counter_was(out, told.map(|_| (now - at) / bound));
         }
-        if let Some((due, next)) = self.waits.remove(&serial) {
+        if let Some((due, next)) = waited {
             self.due.remove(&due);
             next(self, out, told);
         }
         self.rouse(out);
     }
 
-    fn counter_was(&mut self, out: &mut dyn Outward, well: bool) {
+    /// How long a call took, as a part of the bound on waits; none where it failed.
+    fn counter_was(&mut self, out: &mut dyn Outward, took: Option<f64>) {
         // Part that asks: one failed call in five leaves it high, ten in a row bring it to the least, which
         // still tries several times a second.
         const ASK_LESS: f64 = 0.8;
         const ASK_MORE: f64 = 1.05;
+        // Answers well inside the bound: not crowded, and a gateway of few inquiries is back within seconds.
+        const QUICK: f64 = 0.5;
+        const ASK_MORE_IF_QUICK: f64 = 1.3;
         const ASK_LEAST: f64 = 0.05;
-        let share = self.ask_share * if well { ASK_MORE } else { ASK_LESS };
+        let share = self.ask_share
+            * match took {
+                Some(part) if part < QUICK => ASK_MORE_IF_QUICK,
+                Some(_) => ASK_MORE,
+                None => ASK_LESS,
+            };
         self.ask_share = share.clamp(ASK_LEAST, 1.0);
         if !self.crowded && share < 0.3 {
             self.crowded = true;
@@ -915,7 +979,7 @@
             }
             // True units: the difference goes to the window that took the guess, with its next add.
             let settled = self.terms.settles && ended.true_units > 0.0;
-            if let Some((name, keep)) = open.charged.filter(|_| settled) {
+            if let Some((name, keep, _)) = open.charged.filter(|_| settled) {
                 let more = ended.true_units - open.units;
                 self.customers.entry(open.customer).and_modify(|c| c.slides[0].room -= more);
                 self.tally(name, keep).held += more;
--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -510,3 +510,82 @@
     }
     assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
 }
+
+/// Inquiries of one customer, two units each, at these times, each at a gateway that has never seen it; those let on,
+/// and the calls to the counter.
+fn at_ever_new_gateways(rate: f64, burst: f64, times: impl Iterator<Item = f64>) -> (usize, usize) {
+    let plans = vec![PlanTerms { rate, burst, ..PlanTerms::default() }];
+    let terms = Terms { plans, gateways: 300, ..terms() };
+    let (mut totals, mut sent, mut calls) = (std::collections::BTreeMap::new(), 0, 0);
+    for at in times {
+        let mut world = World::new(terms.clone(), 5);
+        (world.spread, world.rules.now) = (200, 1000.0 + at);
+        world.totals = std::mem::take(&mut totals);
+        let id = world.arrive(0, 0, 1, 2.0, 2.5);
+        while let Some(name) = world.rules.calls.iter().find(|c| !c.1.is_empty()).map(|c| *c.0) {
+            calls += 1;
+            world.count(name, Some(true));
+        }
+        sent += world.hand_offs(id);
+        totals = world.totals;
+    }
+    (sent, calls)
+}
+
+/// Among hundreds of gateways each inquiry of a customer meets one that has not seen it: of those inside the quotas
+/// many were refused there, as if all earlier use had come at its window's end, and most read the closed window too.
+#[test]
+fn one_total_tells_a_gateway_that_never_saw_the_customer() {
+    let spells = (0..80).map(|n| f64::from(n % 8) * 0.5 + f64::from(n / 8) * 8.0);
+    let (inside, calls) = at_ever_new_gateways(3.0, 12.0, spells);
+    assert!(inside >= 74, "{inside} of 80 at two thirds of the rate, in spells of a burst's length");
+    assert!(calls <= 110, "{calls} calls for 80");
+    let (beyond, _) = at_ever_new_gateways(3.0, 12.0, (0..240).map(|n| f64::from(n) * 0.2));
+    let part = beyond as f64 / (12.0 + 3.0 * 48.0) * 2.0;
+    assert!((0.8..=1.1).contains(&part), "{part} of the quota at three times the rate");
+}
+
+/// A gateway of few inquiries went on deciding alone for a minute after the counter was back.
+#[test]
+fn a_counter_that_is_back_is_asked_again_within_seconds() {
+    let mut world = World::new(quota(), 5);
+    for _ in 0..40 {
+        let id = world.arrive(0, 0, 1, 1.0, 2.5);
+        world.pass(0.05);
+        world.end(id, 0, Outcome::Honoured);
+    }
+    let mut asked = 0;
+    for n in 0..160 {
+        let id = world.arrive(0, 0, u64::from(n as u32) + 2, 1.0, 2.5);
+        asked += usize::from(n >= 120 && world.rules.calls.values().any(|c| !c.is_empty()));
+        world.count_all();
+        world.end(id, 0, Outcome::Honoured);
+        world.pass(0.05);
+    }
+    assert!(asked >= 36, "{asked} of the last 40 were asked about");
+}
+
+/// A call that lapsed was held against the counter twice, at its lapse and at the end of its life.
+#[test]
+fn a_call_without_an_answer_counts_against_the_counter_once() {
+    let late = |told: bool| {
+        let mut world = World::new(quota(), 5);
+        for n in 0..6 {
+            let id = world.arrive(0, 0, n, 1.0, 2.5);
+            world.pass(0.09);
+            let name = world.rules.calls.iter().find(|c| !c.1.is_empty()).map(|c| *c.0);
+            name.filter(|_| told).into_iter().for_each(|name| world.count(name, None));
+            world.rules.calls.clear();
+            world.end(id, 0, Outcome::Honoured);
+        }
+        let asks = |world: &mut World, n: u64| {
+            let id = world.arrive(0, 0, 100 + n, 1.0, 2.5);
+            let asked = world.rules.calls.values().any(|c| !c.is_empty());
+            world.rules.calls.clear();
+            world.end(id, 0, Outcome::Honoured);
+            asked
+        };
+        (0..400).filter(|n| asks(&mut world, *n)).count()
+    };
+    assert_eq!(late(true), late(false));
+}
