--- a/src/logic.rs
+++ b/src/logic.rs
@@ -127,8 +127,7 @@
     /// The same for a wide customer: what the closed window left undrained stands in `total`, and little was
     /// seen here. Even use would drain in full, one burst at the window's end not at all.
     fn hear_wide(&mut self, tier: &Tier, index: u64, gone: f64, total: f64, units: f64, now: f64) -> f64 {
-        // Half let more in beyond quotas where the counter takes half of the calls; nothing refused customers
-        // with half of their quota unused.
+        // Half let more in beyond quotas on a crowded counter; none refused many with half of theirs unused.
         const GROWS: f64 = 0.25;
         let room = (tier.limit * (1.0 + GROWS * gone) - total).min(tier.limit - units);
         *self = Slide { seen: true, index, total, room, at: now, ahead: 0.0, ..*self };
@@ -478,8 +477,7 @@
         if full.0 > now && units >= full.1 {
             return self.beyond(out, id, k, full.0 - now);
         }
-        // What is let on alone goes along with the next add to its name. A wide customer has none: there the
-        // adds of those that ask stand for the others' too.
+        // What is let on alone goes along with the next add to its name; a wide customer's are stood for.
         let wide = self.customers[&customer].wide;
         let stands_for = if wide { units * (1.0 / self.ask_share).min(MOST_STANDS_FOR) } else { units };
         let asks = self.may_ask();
@@ -945,11 +943,13 @@
         }
         let Some(open) = self.open.get(&id) else { return };
         let Some(sent) = open.sent.get(usize::from(nth)) else { return };
+        let (host, at, last) = (sent.host, sent.at, open.sent.len() == usize::from(nth) + 1);
         // A host that has answered others since is only busy, or the inquiry is long: a copy harms both.
-        let busy = self.hosts.get(&sent.host).is_some_and(|h| h.heard > sent.at);
-        if busy || open.sent.len() != usize::from(nth) + 1 || open.until - self.now < 0.1 {
+        if !last || open.until - self.now < 0.1 || self.hosts.get(&host).is_some_and(|h| h.heard > at) {
             return;
         }
+        // Rests at once: what it may hold for seconds yet would count against the room at all others.
+        self.rest(out, host);
         match (self.terms.second_copies, self.terms.may_cancel && self.any_room()) {
             (true, _) => self.pick(id).into_iter().for_each(|host| self.hand_off(out, id, host)),
             (_, true) => out.cancel(id, nth),
--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -589,3 +589,21 @@
     };
     assert_eq!(late(true), late(false));
 }
+
+/// What a silent host held for seconds (receipted, no other host of its cell) counted against the room at all others.
+#[test]
+fn a_doubted_host_rests_though_its_inquiry_may_go_nowhere_else() {
+    let mut terms =
+        Terms { plans: vec![PlanTerms::default()], second_copies: true, gateways: 300, ..terms() };
+    terms.lanes.iter_mut().for_each(|lane| lane.memory = 15.0);
+    let mut world = World::new(terms, 3);
+    let held: Vec<u32> = (0..3).map(|_| world.arrive(1, 0, 1, 1.0, 8.0)).collect();
+    let silent = world.rules.taken[&held[0]].hand_offs[0].host;
+    held[1..].iter().for_each(|id| world.end(*id, 0, Outcome::Honoured));
+    world.pass(1.0);
+    let ids: Vec<u32> = (0..2).map(|_| world.arrive(0, 0, 1, 1.0, 2.5)).collect();
+    assert!(ids.iter().all(|id| world.hand_offs(*id) == 1), "no room at the two others");
+    world.pass(1.05);
+    assert_eq!(world.rules.probes, [silent], "asked whether it runs");
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+}
