A gateway among many turns to eight hosts at least, twelve gateways a host

Change: `draw_near`: twelve gateways a host and eight hosts a gateway at least (thirty and twelve before).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -345,8 +345,8 @@
     /// hear of, and enough gateways a host that uneven traffic evens out. A few gateways turn to all hosts.
     fn draw_near(&mut self) {
         const FIRST_LIMIT: f64 = 5.0;
-        const GATEWAYS_A_HOST: f64 = 30.0;
-        const LEAST_NEAR: f64 = 12.0;
+        const GATEWAYS_A_HOST: f64 = 12.0;
+        const LEAST_NEAR: f64 = 8.0;
         let gateways = f64::from(self.terms.gateways.max(1));
         let mut ready: Vec<_> =
             self.hosts.iter().filter(|(_, h)| h.line.standing == Standing::Ready).collect();
