A list that failed is asked for again ever less often, and not in step with the fleet

Cause: on herd+vast all 70 restarted gateways asked discovery again exactly 1 s after each refusal (src/logic.rs, list_news). Ruled out: the counter (1 to 5% unanswered), the watch itself (a refusal comes at once or after 2 s, never a silence). Change: waits double from 1 s to the settings' must-ask time and are spread by chance, by a small module of their own (src/again.rs) that the fronts are to use as well. The test has a discovery that takes four calls a fifth of a second: without the change none of seventy gateways is served in 20 s.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! `arrived` -> quota (`ask_tier`, `ask_open`) -> `send_on` -> `after_hand_off` -> an answer; what comes
 //! after a wait is left behind as a closure that is handed the result.
 
+use crate::again::Again;
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -214,6 +215,7 @@
     due: BTreeMap<Due, Step>,
     serial: u64,
     wake_at: f64,
+    ask_again: Again,
     round_at: f64,
     traced_at: f64,
     ask_share: f64,
@@ -243,6 +245,7 @@
             due: BTreeMap::new(),
             serial: 0,
             wake_at: f64::INFINITY,
+            ask_again: Again::default(),
             round_at: now + ROUND,
             traced_at: 0.0,
             ask_share: 1.0,
@@ -319,9 +322,11 @@
     pub fn list_news(&mut self, now: f64, out: &mut dyn Outward, news: News, lines: &[HostLine]) {
         self.now = now;
         if news == News::Failed {
-            self.after(1.0, Box::new(|_, out| out.subscribe()));
+            let wait = self.ask_again.failed(1.0, self.terms.ask_within, self.chance.rand_float());
+            self.after(wait, Box::new(|_, out| out.subscribe()));
             return self.rouse(out);
         }
+        self.ask_again.well();
         if news != News::Changes {
             self.hosts.values_mut().for_each(|h| h.line.standing = Standing::Gone);
         }
--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -624,3 +624,30 @@
     }
     assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
 }
+
+/// Seventy gateways that were started together asked an overbooked discovery again in step, once a second, for good.
+#[test]
+fn a_discovery_that_turns_the_fleet_away_is_asked_ever_less_often_and_not_in_step() {
+    let terms = Terms { must_subscribe: true, gateways: 100, ..terms() };
+    let started = |seed| {
+        let mut world = World::new(terms.clone(), 3);
+        world.rules.asked.clear();
+        world.gateway = Gateway::start(terms.clone(), seed, 0.0, &mut world.rules);
+        world
+    };
+    let mut fleet: Vec<World> = (0..70).map(started).collect();
+    let (mut calls, mut served) = (0, 0);
+    // A call fails where more than four come within the same fifth of a second.
+    for _ in 0..100 {
+        let asks: Vec<usize> = (0..fleet.len()).filter(|n| fleet[*n].rules.asked.pop().is_some()).collect();
+        for n in &asks {
+            let news = if asks.len() > 4 { News::Failed } else { News::Changes };
+            fleet[*n].list(news, &[]);
+            served += usize::from(news == News::Changes);
+        }
+        calls += asks.len();
+        fleet.iter_mut().for_each(|world| world.pass(0.2));
+    }
+    assert_eq!(served, 70, "after 20 s and {calls} calls");
+    assert!(calls <= 70 * 6, "{calls} calls");
+}
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -89,6 +89,8 @@
     pub probes: Vec<HostId>,
     pub cancels: Vec<(u32, u16)>,
     pub wakes: Vec<f64>,
+    /// When the list was asked for.
+    pub asked: Vec<f64>,
     sent_on: BTreeMap<u64, f64>,
 }
 
@@ -180,7 +182,9 @@
         self.calls.entry(name).or_default().push_back((amount, keep));
     }
     fn tell(&mut self, _gateway: Option<u32>, _words: &[u8]) {}
-    fn subscribe(&mut self) {}
+    fn subscribe(&mut self) {
+        self.asked.push(self.now);
+    }
     fn wake(&mut self, after: f64) {
         self.wakes.push(self.now + after);
     }
@@ -208,6 +212,7 @@
             probes: Vec::new(),
             cancels: Vec::new(),
             wakes: Vec::new(),
+            asked: Vec::new(),
             sent_on: BTreeMap::new(),
         };
         let gateway = Gateway::start(terms, 7, 0.0, &mut rules);
