Waits before a watch or a counter's connection is opened again grow and are spread

Need: after a refusal or break every gateway opened its watch again 300 ms later and its connection to the counter 200 ms later, all of a fleet in step, for as long as it lasted (gateway/src/discovery.rs and counter.rs, PACE). Change: both go by src/again.rs as the module's calls for the list do; 0.3 to 1 s and 0.2 to 1 s, each spread by half. A watch that fails is a warning in the log with its cause; it was a debug line. Where the module has to ask, its waits alone count. Tests on loopback: a discovery that refuses (asked 21 times in 6.5 s before, 14 at most now, one connection at a time, the known hosts serve, the list is heard when it is back); ids of three in five hosts that come back at other addresses; SIGTERM beside a refusing discovery and a silent counter.

--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -4,6 +4,7 @@
 //! Moved to another address, it awaits what is out at the old one first: a name's answers keep the order of its calls.
 
 use crate::route::Hall;
+use archlink::again::Again;
 use archlink::interface::Counted;
 use bytes::{Buf, BytesMut};
 use futures_util::{SinkExt, StreamExt};
@@ -25,8 +26,10 @@
 /// A connection that has brought nothing for so many lives of a call while one waits is given up: a busy counter's
 /// answers come late, but they come.
 const SILENT: u32 = 2;
-/// Between two connections that brought nothing, so that a counter that comes back isn't met by a storm.
+/// Between two connections that brought nothing: the first wait and the longest, so that a counter that comes back
+/// isn't met by a storm, and is asked again within seconds.
 const PACE: Duration = Duration::from_millis(200);
+const LONGEST_PACE: Duration = Duration::from_secs(1);
 /// Calls under way at most; further ones are not sent.
 const MOST_CALLS: usize = 4096;
 
@@ -316,6 +319,7 @@
     /// Connects, serves, and connects again; never ends.
     pub async fn run(self: Rc<Counter>, hall: Rc<Hall>, connect: f64) {
         let connect = Duration::from_secs_f64(connect.clamp(0.01, 10.0));
+        let mut again = Again::default();
         loop {
             // Written to a connection that ended: may have been added. The others were not; where one goes on
             // at once they are written there.
@@ -338,11 +342,15 @@
                 Err(e) => e,
             };
             log::debug!("counter: {ended}");
+            if answered {
+                again.well();
+            }
             if !answered && self.address.get() == address {
                 self.lapse(&hall, true);
                 self.calls.borrow_mut().written.clear();
+                let pace = hall.wait(&mut again, PACE, LONGEST_PACE);
                 tokio::select! {
-                    _ = sleep_until(begun + PACE) => {}
+                    _ = sleep_until(begun + pace) => {}
                     _ = self.moved.notified() => {}
                 }
             }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -4,6 +4,7 @@
 
 use crate::http::Chunks;
 use crate::route::{Clock, Hall};
+use archlink::again::Again;
 use archlink::interface::{HostId, HostLine, News, Standing};
 use archlink_settings::Told;
 use bytes::{Buf, BytesMut};
@@ -26,8 +27,10 @@
 /// watch is heard within the 6 s after which news counts as told.
 const SILENT: Duration = Duration::from_millis(2800);
 const CONNECT: Duration = Duration::from_secs(1);
-/// Between two openings.
+/// Between two openings: the first wait, and the longest that they grow to while watches fail. That one is short
+/// enough for a host that drains while discovery refuses to be heard of within the same 6 s.
 const PACE: Duration = Duration::from_millis(300);
+const LONGEST_PACE: Duration = Duration::from_secs(1);
 /// A line of the watch holds the whole list at the most: thousands of hosts.
 const MOST_LINE: usize = 4 << 20;
 
@@ -124,6 +127,7 @@
     numbers: RefCell<HashMap<String, HostId>>,
     next: Cell<HostId>,
     version: Cell<u64>,
+    again: Cell<Again>,
 }
 
 impl Discovery {
@@ -136,6 +140,7 @@
             numbers: RefCell::default(),
             next: Cell::new(1),
             version: Cell::new(0),
+            again: Cell::default(),
         };
         let known = piece(known, &discovery.hall.told, discovery.hall.clock);
         let none = Piece { version: 0, whole: true, hosts: Vec::new() };
@@ -199,6 +204,7 @@
         let mut lines = FramedRead::new(stream, Watch::default());
         loop {
             let line = timeout(SILENT, lines.next()).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
+            self.again.set(Again::default());
             if line.trim_ascii().is_empty() {
                 continue;
             }
@@ -227,11 +233,16 @@
             };
             moved = ended.is_none();
             let Some(e) = ended else { continue };
-            log::debug!("discovery: {e}");
+            // The module sets the pace where it has to ask. Elsewhere a fleet whose watches broke together must not
+            // come back in step.
+            let mut again = self.again.get();
+            let pace = self.hall.wait(&mut again, PACE, LONGEST_PACE);
+            self.again.set(again);
+            log::warn!("discovery: watch failed after {:.1?}: {e}", begun.elapsed());
             if must_ask {
                 self.hall.call(|module, now, hands| module.list_news(now, hands, News::Failed, &[]));
             }
-            sleep_until(begun + PACE).await;
+            sleep_until(begun + if must_ask { PACE } else { pace }).await;
         }
     }
 }
--- a/gateway/src/route.rs
+++ b/gateway/src/route.rs
@@ -7,6 +7,7 @@
 use crate::peers::Peers;
 use crate::send::{self, Job, Kept};
 use crate::{book, relay};
+use archlink::again::Again;
 use archlink::interface::*;
 use archlink::logic::Gateway;
 use archlink_settings::Told;
@@ -220,6 +221,7 @@
     pub kept: Rc<Kept>,
     counter: Rc<Counter>,
     timer: Rc<Timer>,
+    chance: RefCell<oorandom::Rand64>,
 }
 
 /// The neighbours that a hall acts through.
@@ -249,11 +251,27 @@
                 watch,
             };
             let module = Gateway::start(told.terms.clone(), seed, clock.now(), &mut hands);
-            Hall { core: RefCell::new((module, hands)), clock, told, kept, counter, timer: timer.clone() }
+            // Apart from the module's chance, whose draws follow from its inquiries alone.
+            let chance = RefCell::new(oorandom::Rand64::new(u128::from(!seed)));
+            Hall {
+                core: RefCell::new((module, hands)),
+                clock,
+                told,
+                kept,
+                counter,
+                timer: timer.clone(),
+                chance,
+            }
         });
         Ok(hall)
     }
 
+    /// How long to wait before something that has failed `again` is tried anew, spread by this gateway's chance.
+    pub fn wait(&self, again: &mut Again, first: Duration, most: Duration) -> Duration {
+        let chance = self.chance.borrow_mut().rand_float();
+        Duration::from_secs_f64(again.failed(first.as_secs_f64(), most.as_secs_f64(), chance))
+    }
+
     /// The only way to the module: one call at a time, with the time of the call.
     pub fn call<R>(&self, step: impl FnOnce(&mut Gateway, f64, &mut Hands) -> R) -> R {
         let (module, hands) = &mut *self.core.borrow_mut();
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -245,6 +245,8 @@
     asked: Arc<Mutex<Vec<String>>>,
     breaks: Arc<AtomicUsize>,
     mute: Arc<AtomicBool>,
+    /// Turns each new watch away at once.
+    refuses: Arc<AtomicBool>,
 }
 
 impl List {
@@ -258,6 +260,9 @@
                     let (first, ..) = message(&mut BufReader::new(stream.try_clone().ok()?))?;
                     let mut after: u64 = first.split("after=").nth(1)?.split(' ').next()?.parse().ok()?;
                     list.asked.lock().unwrap().push(first);
+                    if list.refuses.load(Ordering::SeqCst) {
+                        return stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").ok();
+                    }
                     let breaks = list.breaks.load(Ordering::SeqCst);
                     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
                     while list.breaks.load(Ordering::SeqCst) == breaks {
@@ -724,6 +729,63 @@
     assert_eq!(hosts[1].got(), before, "sent to a host that the whole list left out");
 }
 
+/// Gateways that a busy discovery turned away asked again together every 300 ms, for as long as it was busy.
+#[test]
+fn a_discovery_that_refuses_is_asked_ever_less_often_while_the_known_hosts_serve() {
+    let hosts = [Host::start(How::Well), Host::start(How::Well)];
+    let list = List::default();
+    list.refuses.store(true, Ordering::SeqCst);
+    let told = configuration(counter(Count::Well).0, list.start(), &hosts[..1]);
+    let gateway = start("refusing", &told, list);
+    let descriptors = gateway.descriptors();
+    let begun = Instant::now();
+    while begun.elapsed() < ms(6500) {
+        assert_eq!(gateway.ask(&look(fresh())).0, 200);
+        sleep(ms(20));
+    }
+    // At equal waits it would be 21 or more; grown ones come to 6.5 s with 13 at the shortest that chance gives.
+    let asked = gateway.list.asked.lock().unwrap().len();
+    assert!((4..=14).contains(&asked), "asked {asked} times");
+    assert!(gateway.descriptors() <= descriptors + 2, "one connection is open at a time");
+    gateway.list.say(2, false, &[entry(1, &hosts[1], "ready"), entry(0, &hosts[0], "draining")]);
+    gateway.list.refuses.store(false, Ordering::SeqCst);
+    until("the list is heard", || gateway.ask(&look(fresh())).0 == 200 && hosts[1].got() > 0);
+}
+
+#[test]
+fn ids_that_come_back_at_other_addresses_are_found_there_and_nowhere_else() {
+    let old: Vec<Host> = (0..5).map(|_| Host::start(How::Well)).collect();
+    let new: Vec<Host> = (0..3).map(|_| Host::start(How::Well)).collect();
+    let gateway = gateway("moved-ids", Count::Well, &old);
+    until("all are used", || gateway.ask(&look(fresh())).0 == 200 && old.iter().all(|h| h.got() > 0));
+    let mut entries: Vec<Value> = (0..3).map(|n| entry(n, &new[n], "ready")).collect();
+    entries.extend((3..5).map(|n| entry(n, &old[n], "ready")));
+    gateway.list.say(2, true, &entries);
+    until("the new ones are used", || {
+        gateway.ask(&look(fresh())).0 == 200 && new.iter().all(|h| h.got() > 0)
+    });
+    let left: Vec<usize> = old.iter().map(Host::got).collect();
+    (0..40).for_each(|_| assert_eq!(gateway.ask(&look(fresh())).0, 200));
+    assert!((0..3).all(|n| old[n].got() == left[n]), "sent to an address that its id has left");
+    assert!((3..5).all(|n| old[n].got() > left[n]), "those that stayed go on");
+}
+
+#[test]
+fn sigterm_beside_a_refusing_discovery_and_a_silent_counter_answers_all_and_ends() {
+    let hosts = [Host::start(How::Slow)];
+    let list = List::default();
+    list.refuses.store(true, Ordering::SeqCst);
+    let told = configuration(counter(Count::Silent).0, list.start(), &hosts);
+    let mut gateway = start("term-refusing", &told, list);
+    until("discovery has refused", || !gateway.list.asked.lock().unwrap().is_empty());
+    let mut kept = TcpStream::connect(gateway.address).unwrap();
+    kept.write_all(&look(fresh())).unwrap();
+    until("handed off", || hosts[0].got() == 1);
+    gateway.signal(Signal::TERM);
+    assert!(message(&mut BufReader::new(kept)).unwrap().0.contains(" 200 "));
+    assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
+}
+
 #[test]
 fn a_connection_that_the_host_closed_costs_no_inquiry() {
     let hosts = [Host::start(How::CloseAfterwards)];
--- a/src/again.rs
+++ b/src/again.rs
@@ -1,5 +1,5 @@
 //! How long to wait before something that failed is tried again: a list, a watch, a connection. Owns that
-//! rule alone, free of I/O and clock, for the decisions and for every front. Must never decide whether to try.
+//! rule alone, free of I/O and clock, for the decisions and every front. Must never decide whether to try.
 
 /// Failures in a row, and the wait that follows from them: it doubles, is bounded, and is spread by chance.
 /// Guards against a fleet that was turned away together coming back together, in step and for good.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -637,12 +637,12 @@
     /// Without the counter a gateway goes by the room it last saw: it drains on, and each own inquiry stands
     /// for the others' too, by the share that comes through here, into debt if need be: one a minute of a
     /// customer spread over fifty gateways is let in. Could harm where the share is far too low. What comes
-    /// here is a few inquiries by chance: the older the last total, the more may be owed, up to a burst. Most of
-    /// those refused on a guess are inside: the less one beyond costs, the more is spared, over all gateways.
+    /// here is a few inquiries by chance: the older the last total, the more may be owed, up to a burst. Most
+    /// of those refused on a guess are inside: the less one beyond costs, the more is spared, fleet-wide.
     fn decide_alone(&mut self, out: &mut dyn Outward, id: u32) {
         // A share learnt from one closed window may be next to nothing; thousands of gateways are unlikely.
         const LEAST_SHARE: f64 = 0.001;
-        // Four bursts at most. Where it costs a half, 0, 1, 2 and 100 gave 0.550, 0.570, 0.580, 0.552 over six days.
+        // Four bursts at most. At a cost of a half 0, 1, 2, 100 gave 0.550, 0.570, 0.580, 0.552 over six days.
         const LEAST_COSTS: f64 = 0.25;
         let (customer, plan, units) = self.about(id);
         let PlanTerms { rate, burst, over_costs, .. } = self.terms.plans[plan];
