--- a/src/logic.rs
+++ b/src/logic.rs
@@ -642,7 +642,7 @@
     fn decide_alone(&mut self, out: &mut dyn Outward, id: u32) {
         // A share learnt from one closed window may be next to nothing; thousands of gateways are unlikely.
         const LEAST_SHARE: f64 = 0.001;
-        // Four bursts at most. At a cost of a half 0, 1, 2, 100 gave 0.550, 0.570, 0.580, 0.552 over six days.
+        // Four bursts at most. At a cost of a half 0, 1, 2, 100 gave 0.550, 0.570, 0.580, 0.552 on six days.
         const LEAST_COSTS: f64 = 0.25;
         let (customer, plan, units) = self.about(id);
         let PlanTerms { rate, burst, over_costs, .. } = self.terms.plans[plan];
