--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -247,6 +247,8 @@
     mute: Arc<AtomicBool>,
     /// Turns each new watch away at once.
     refuses: Arc<AtomicBool>,
+    /// Ends each watch in the middle of its first news.
+    tears: Arc<AtomicBool>,
 }
 
 impl List {
@@ -274,6 +276,10 @@
                             list.said.lock().unwrap().iter().filter(|l| l.0 > after).cloned().collect();
                         for (version, line) in news {
                             after = version;
+                            if list.tears.load(Ordering::SeqCst) {
+                                let half = &line[..line.len() / 2];
+                                return write!(stream, "{:x}\r\n{half}\r\n", half.len()).ok();
+                            }
                             write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1).ok()?;
                         }
                         stream.write_all(b"1\r\n\n\r\n").ok()?;
@@ -752,6 +758,25 @@
     until("the list is heard", || gateway.ask(&look(fresh())).0 == 200 && hosts[1].got() > 0);
 }
 
+/// Half a piece of the list is no list: nothing of it counts, and it is asked for again from the version in hand.
+#[test]
+fn a_list_that_breaks_off_changes_nothing_and_is_asked_for_again() {
+    let hosts = [Host::start(How::Well), Host::start(How::Well)];
+    let list = List::default();
+    list.tears.store(true, Ordering::SeqCst);
+    let told = configuration(counter(Count::Well).0, list.start(), &hosts[..1]);
+    let gateway = start("torn", &told, list);
+    gateway.list.say(2, true, &[entry(1, &hosts[1], "ready")]);
+    until("it has broken off three times", || {
+        assert_eq!(gateway.ask(&look(fresh())).0, 200);
+        gateway.list.asked.lock().unwrap().len() >= 4
+    });
+    assert_eq!(hosts[1].got(), 0, "the half was taken for the list");
+    assert!(gateway.list.asked.lock().unwrap().iter().all(|asked| asked.contains("after=1 ")));
+    gateway.list.tears.store(false, Ordering::SeqCst);
+    until("the whole one counts", || gateway.ask(&look(fresh())).0 == 200 && hosts[1].got() > 0);
+}
+
 #[test]
 fn ids_that_come_back_at_other_addresses_are_found_there_and_nowhere_else() {
     let old: Vec<Host> = (0..5).map(|_| Host::start(How::Well)).collect();
