Changes of the list from before the one in hand are passed over

Change: changes with a version below the one in hand are passed over with a warning; a whole list is taken whatever its version, since a replaced discovery may count anew. The test fails without the change (the drained host gets inquiries again).

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -212,7 +212,15 @@
             let piece = piece(&value, &self.hall.told, self.hall.clock);
             let piece = piece.ok_or_else(|| io::Error::other("a line without a version"))?;
             let news = if piece.whole { News::Whole } else { News::Changes };
-            self.take(piece, news);
+            let held = self.version.get();
+            if piece.version < held {
+                log::warn!("discovery: version {} after {held}; only a whole list counts", piece.version);
+            }
+            // Changes from before the list in hand would bring back hosts that drain or are gone. A whole list counts
+            // whatever its version: discovery may have been replaced.
+            if piece.whole || piece.version >= held {
+                self.take(piece, news);
+            }
         }
     }
 
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -777,6 +777,29 @@
     until("the whole one counts", || gateway.ask(&look(fresh())).0 == 200 && hosts[1].got() > 0);
 }
 
+/// Changes older than the list in hand took hosts that were gone since for ready again.
+#[test]
+fn changes_from_before_the_list_in_hand_are_passed_over_and_a_whole_list_is_not() {
+    let hosts = [Host::start(How::Well), Host::start(How::Well), Host::start(How::Well)];
+    let gateway = gateway("old-version", Count::Well, &hosts[..1]);
+    let list = |version, whole: bool, entries: &[Value]| {
+        // Told at once to the watch that is open, as a discovery that lags behind would.
+        let line = json!({"version": version, "full": whole, "servers": entries}).to_string();
+        let mut said = gateway.list.said.lock().unwrap();
+        let order = said.len() as u64 + 10;
+        said.push((order, line));
+    };
+    list(9, false, &[entry(1, &hosts[1], "ready"), entry(0, &hosts[0], "draining")]);
+    until("the new host serves", || gateway.ask(&look(fresh())).0 == 200 && hosts[1].got() > 0);
+    let drained = hosts[0].got();
+    list(5, false, &[entry(0, &hosts[0], "ready")]);
+    sleep(ms(300));
+    (0..10).for_each(|_| assert_eq!(gateway.ask(&look(fresh())).0, 200));
+    assert_eq!(hosts[0].got(), drained, "an old list brought a drained host back");
+    list(3, true, &[entry(2, &hosts[2], "ready")]);
+    until("the whole list counts", || gateway.ask(&look(fresh())).0 == 200 && hosts[2].got() > 0);
+}
+
 #[test]
 fn ids_that_come_back_at_other_addresses_are_found_there_and_nowhere_else() {
     let old: Vec<Host> = (0..5).map(|_| Host::start(How::Well)).collect();
