--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -65,6 +65,8 @@
     Slow,
     Large,
     Half,
+    /// Holds one connection and turns what comes on any further one away.
+    Limited,
 }
 
 #[derive(Default)]
@@ -130,7 +132,10 @@
                 How::Well | How::Large => {
                     to.write_all(&whole("200 OK\r\nSrv-Load: util=0.5,latency_ms=7")).ok()?
                 }
-                How::Slow => {
+                How::Limited if seen.open.load(Ordering::SeqCst) > 1 => {
+                    return to.write_all(&whole("503 Busy\r\nSrv-Declined: 1\r\nConnection: close")).ok();
+                }
+                How::Slow | How::Limited => {
                     sleep(ms(400));
                     to.write_all(&whole("200 OK")).ok()?;
                 }
@@ -777,6 +782,29 @@
     until("the whole one counts", || gateway.ask(&look(fresh())).0 == 200 && hosts[1].got() > 0);
 }
 
+/// What a host at its limit turns away has not run: it goes to another one, effectful or not, and nothing is kept open.
+#[test]
+fn a_host_at_its_connection_limit_costs_no_inquiry() {
+    let hosts = [Host::start(How::Limited), Host::start(How::Slow), Host::start(How::Slow)];
+    let gateway = gateway("limited", Count::Well, &hosts);
+    let (mut streams, before) = (Vec::new(), gateway.descriptors());
+    for id in 0..8 {
+        let mut stream = TcpStream::connect(gateway.address).unwrap();
+        stream.write_all(&inquiry("POST", "pay", "team", id, 2.5, b"once")).unwrap();
+        streams.push(stream);
+    }
+    for stream in streams {
+        let (first, ..) = message(&mut BufReader::new(stream)).unwrap();
+        // Where the others are full too it is pushed back: no effect, and at once.
+        assert!(first.contains(" 200 ") || first.contains(" 429 ") || first.contains(" 503 "), "{first}");
+    }
+    until("the limited host has served", || {
+        gateway.ask(&inquiry("POST", "pay", "team", fresh(), 2.5, b"once")).0 == 200 && hosts[0].got() > 0
+    });
+    until("what it turned away is closed", || hosts[0].seen.open.load(Ordering::SeqCst) <= 1);
+    assert!(gateway.descriptors() <= before + 3 + 8, "{} of {before}", gateway.descriptors());
+}
+
 /// Changes older than the list in hand took hosts that were gone since for ready again.
 #[test]
 fn changes_from_before_the_list_in_hand_are_passed_over_and_a_whole_list_is_not() {
