--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -84,6 +84,7 @@
         goal: facts.time(&key("on-time-us"))?,
         abandon: facts.time(&key("deadline-us"))?,
         importance: facts.number_or(&key("points"), 1.0)?,
+        late_worth: facts.number_or(&key("late-share"), 1.0)?.min(1.0),
         effect,
         group,
         memory: facts.number_or(&key("memory-span-us"), 0.0)? / 1e6,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -23,6 +23,8 @@
     pub goal: f64,
     pub abandon: f64,
     pub importance: f64,
+    /// Part of its importance that an answer after the goal time is still worth, 0 to 1.
+    pub late_worth: f64,
     pub effect: Effect,
     pub group: Group,
     pub memory: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,6 +19,7 @@
 /// One row a lane: what may be done again, where, and for how long.
 struct Lane {
     goal: f64,
+    late_worth: f64,
     repeats: bool,
     fellows: Group,
     memory: f64,
@@ -32,7 +33,14 @@
             Effect::Receipted => (true, terms.group, terms.memory, terms.group == Group::All),
             Effect::Effectful => (false, Group::All, 0.0, false),
         };
-        Lane { goal: terms.goal.max(0.001), repeats, fellows, memory, refusable }
+        Lane {
+            goal: terms.goal.max(0.001),
+            late_worth: terms.late_worth,
+            repeats,
+            fellows,
+            memory,
+            refusable,
+        }
     }
 }
 
@@ -75,6 +83,12 @@
     }
     tiers
 }
+
+/// What a plan's tiers grant at most, in parts of its quota: a tier beyond it grants as much again.
+fn most_of_quota(plan: &PlanTerms) -> f64 {
+    if plan.over_earns > plan.over_costs { 2.0 } else { 1.0 }
+}
+
 /// Names live two windows and a margin, a minute at the most on the counter.
 const MAX_WINDOW: f64 = 25.0;
 const MIN_WINDOW: f64 = 0.2;
@@ -148,6 +162,8 @@
     wide: bool,
     /// Share of the customer's use that comes through this gateway.
     share: f64,
+    /// The share if its use were spread evenly.
+    even: f64,
     slides: [Slide; 3],
     /// Tier known to be in force, and until when.
     entered: (usize, f64),
@@ -165,6 +181,8 @@
     customer: u64,
     units: f64,
     until: f64,
+    /// Until when an answer is worth anything.
+    of_use: f64,
     count_by: f64,
     sent: Vec<Sent>,
     holds_place: bool,
@@ -181,14 +199,22 @@
     may_have_run: bool,
 }
 
+/// One lane of a host: hand-offs out, when last answered, failures not yet made up for, rest after them.
+#[derive(Clone, Default)]
+struct InLane {
+    out: f64,
+    heard: f64,
+    rests: u32,
+    rest_until: f64,
+}
+
 #[derive(Default)]
 struct Host {
     line: HostLine,
     out: f64,
     limit: f64,
-    heard: f64,
-    rests: u32,
-    rest_until: f64,
+    /// How it stands in each lane: a host may fail one and serve the others as usual.
+    lanes: Vec<InLane>,
     credit: f64,
     /// Place in this gateway's own order of hosts, and whether it is among those it turns to.
     place: u64,
@@ -207,7 +233,7 @@
     /// Gateways that turn to one host, this one included.
     sharing: f64,
     open: BTreeMap<u32, Open>,
-    hands: BTreeMap<(u32, u16), (Due, AfterHandOff)>,
+    hands: BTreeMap<(u32, u16), (Due, usize, AfterHandOff)>,
     customers: BTreeMap<u64, Customer>,
     names: BTreeMap<u64, Tally>,
     waits: BTreeMap<u64, (Due, AfterCount)>,
@@ -217,10 +243,15 @@
     ask_again: Again,
     round_at: f64,
     traced_at: f64,
+    /// Until when what is heard may have waited for this gateway, which stood still.
+    stood_until: f64,
     ask_share: f64,
     crowded: bool,
 }
 
+/// How late a timer rings where the gateway stood still, and how long it then only listens.
+const STOOD_STILL: f64 = 0.1;
+const STILL_HEARS: f64 = 1e-3;
 /// Between two rounds of the periodic work; a fraction of the shortest thing it watches, a second or so.
 const ROUND: f64 = 0.25;
 
@@ -245,6 +276,7 @@
             ask_again: Again::default(),
             round_at: now + ROUND,
             traced_at: 0.0,
+            stood_until: 0.0,
             ask_share: 1.0,
             crowded: false,
             terms,
@@ -273,23 +305,31 @@
         }
     }
 
-    pub fn woken(&mut self, now: f64, out: &mut dyn Outward) {
-        // A timer this late: the gateway stood still. What came meanwhile is heard first, or due steps take
-        // hosts for silent, the counter for dead. Covers paused processes and clock jumps; costs 1 ms.
-        const STOOD_STILL: f64 = 0.1;
+    /// A timer this late: the gateway stood still. What came meanwhile is heard first, or due steps take hosts
+    /// for silent, the counter for dead; and how late it is heard says nothing of hosts or counter. Covers
+    /// paused processes and clock jumps; costs `STILL_HEARS`.
+    fn clock(&mut self, now: f64) {
+        if now > self.wake_at + STOOD_STILL {
+            self.stood_until = now + STILL_HEARS;
+        }
         self.now = now;
+    }
+
+    pub fn woken(&mut self, now: f64, out: &mut dyn Outward) {
+        let late = now > self.wake_at + STOOD_STILL;
+        self.clock(now);
         if now + 2e-6 < self.wake_at {
             return;
         }
-        if now > self.wake_at + STOOD_STILL {
+        if late {
             // But an inquiry whose client's time is up, or nearly, has this turn alone to be answered.
             let last = self.open.iter().filter(|(_, o)| o.sent.is_empty() && o.until < now + STOOD_STILL);
             for id in last.map(|(id, _)| *id).collect::<Vec<_>>() {
                 self.take_back(out, id);
                 self.push_back_by_load(out, id);
             }
-            self.wake_at = now + 1e-3;
-            return out.wake(1e-3);
+            self.wake_at = self.stood_until;
+            return out.wake(STILL_HEARS);
         }
         self.wake_at = f64::INFINITY;
         while let Some(e) = self.due.first_entry().filter(|e| f64::from_bits(e.key().0) <= now + 2e-6) {
@@ -317,7 +357,7 @@
     }
 
     pub fn list_news(&mut self, now: f64, out: &mut dyn Outward, news: News, lines: &[HostLine]) {
-        self.now = now;
+        self.clock(now);
         if news == News::Failed {
             let wait = self.ask_again.failed(1.0, self.terms.ask_within, self.chance.rand_float());
             self.after(wait, Box::new(|_, out| out.subscribe()));
@@ -329,12 +369,13 @@
         }
         for line in lines {
             // Turns start at chance, or all gateways' rotations would fall on the same hosts at once.
-            let (line, heard, credit) = (line.clone(), now, self.chance.rand_float());
+            let (line, credit) = (line.clone(), self.chance.rand_float());
+            let lanes = vec![InLane { heard: now, ..InLane::default() }; self.lanes.len()];
             let place = mix(line.host ^ mix(u64::from(self.terms.my_number) + 1));
-            let fresh = Host { line: line.clone(), heard, credit, place, ..Host::default() };
+            let fresh = Host { line: line.clone(), lanes, credit, place, ..Host::default() };
             match self.hosts.get_mut(&line.host) {
                 None => drop(self.hosts.insert(line.host, fresh)),
-                Some(host) if line.started > host.line.started => *host = Host { out: host.out, ..fresh },
+                Some(host) if line.started > host.line.started => host.begin_anew(fresh),
                 Some(host) => host.line = line,
             }
         }
@@ -354,7 +395,7 @@
         let gateways = f64::from(self.terms.gateways.max(1));
         let mut ready: Vec<_> =
             self.hosts.iter().filter(|(_, h)| h.line.standing == Standing::Ready).collect();
-        ready.sort_by_key(|(id, h)| (h.rest_until > self.now, h.place, **id));
+        ready.sort_by_key(|(id, h)| (h.rests(self.now), h.place, **id));
         let all = ready.len() as f64;
         let most = (GATEWAYS_A_HOST * all / gateways).ceil().max(LEAST_NEAR).min(all.max(1.0));
         self.sharing = (gateways * most / all.max(1.0)).max(1.0);
@@ -380,7 +421,7 @@
     }
 
     pub fn arrived(&mut self, now: f64, out: &mut dyn Outward, inquiry: Inquiry) {
-        self.now = now;
+        self.clock(now);
         let Inquiry { id, lane, plan, customer, left, units, spread, .. } = inquiry;
         let terms = &self.terms.plans[plan];
         let share = 1.0 / f64::from(spread.max(1));
@@ -388,35 +429,52 @@
             seen: now,
             wide: spread > WIDE,
             share,
+            even: share,
             slides: [Slide { room: terms.burst, at: now, ..Slide::default() }; 3],
             ceiling_at: now,
             ..Customer::default()
         };
         self.customers.entry(customer).or_insert_with(fresh).seen = now;
         let until = now + left;
+        let of_use =
+            if self.lanes[lane].late_worth > 0.0 { until } else { until.min(now + self.lanes[lane].goal) };
         let count_by = (now + 2.0 * self.wait_bound()).min(until - 0.005);
-        self.open.insert(id, Open { lane, plan, customer, units, until, count_by, ..Open::default() });
-        match (self.below_ceiling(id, share), self.any_room()) {
-            (false, _) => self.push_back(out, id, 0.0),
-            (_, false) => self.push_back_by_load(out, id),
-            _ => self.ask_open(out, id),
+        self.open
+            .insert(id, Open { lane, plan, customer, units, until, of_use, count_by, ..Open::default() });
+        match self.any_room(lane) {
+            true => self.ask_open(out, id),
+            false => self.push_back_by_load(out, id),
         }
         self.rouse(out);
     }
 
-    /// A hard ceiling needs no counter: each gateway fills its even part, from nothing at a start: restarts
-    /// would else grant the stored part twice. Costs an unevenly spread customer some room.
-    fn below_ceiling(&mut self, id: u32, share: f64) -> bool {
+    /// A hard ceiling lies above the quota: what the counter's totals let on, over all gateways, stays below
+    /// the quota, so only what is let on without them needs a bound that needs no counter. Each gateway fills
+    /// its even part of what the ceiling leaves beyond the quota (all of it where nothing is counted), from
+    /// nothing at a start: restarts would else grant the stored part twice. True if this inquiry fits into it.
+    fn below_ceiling(&mut self, id: u32) -> bool {
         let open = &self.open[&id];
         let plan = &self.terms.plans[open.plan];
         if plan.ceiling_rate <= 0.0 {
             return true;
         }
+        let counted = if self.by_counter(open.plan) { most_of_quota(plan) } else { 0.0 };
         let Some(known) = self.customers.get_mut(&open.customer) else { return false };
-        let grown = known.ceiling + (self.now - known.ceiling_at) * plan.ceiling_rate * share;
-        known.ceiling = grown.min(plan.ceiling_burst * share);
+        let rate = (plan.ceiling_rate - counted * plan.rate) * known.even;
+        let grown = known.ceiling + (self.now - known.ceiling_at) * rate;
+        known.ceiling = grown.min((plan.ceiling_burst - counted * plan.burst) * known.even);
         known.ceiling_at = self.now;
-        known.ceiling + 1e-9 >= open.units
+        let fits = known.ceiling + 1e-9 >= open.units;
+        known.ceiling -= if fits { open.units } else { 0.0 };
+        fits
+    }
+
+    /// Whether totals alone keep a plan's customers below its ceiling.
+    fn by_counter(&self, plan: usize) -> bool {
+        let terms = &self.terms.plans[plan];
+        let above = |ceiling: f64, quota: f64| ceiling > most_of_quota(terms) * quota;
+        let over = above(terms.ceiling_rate, terms.rate) && above(terms.ceiling_burst, terms.burst);
+        self.terms.may_count && terms.rate > 0.0 && (terms.ceiling_rate <= 0.0 || over)
     }
 
     /// A plan's cap on hand-offs open at once: each gateway states its own in a slot, with which they lapse.
@@ -461,9 +519,10 @@
     fn ask_quota(&mut self, out: &mut dyn Outward, id: u32) {
         let (customer, plan, _) = self.about(id);
         let (tier, until) = self.customers[&customer].entered;
-        match self.tiers[plan].is_empty() {
-            true => self.send_on(out, id),
-            false => self.ask_tier(out, id, if until > self.now { tier } else { 0 }),
+        match (self.by_counter(plan) || self.below_ceiling(id), self.tiers[plan].is_empty()) {
+            (false, _) => self.push_back_by_load(out, id),
+            (_, true) => self.send_on(out, id),
+            _ => self.ask_tier(out, id, if until > self.now { tier } else { 0 }),
         }
     }
 
@@ -655,7 +714,9 @@
         let room = (grown - slide.ahead).min(burst);
         if room + (grown - slide.room).min(burst) + spared + 1e-9 >= cost.min(burst.max(units)) {
             slide.ahead = grown - room + cost;
-            return self.send_on(out, id);
+            if !self.by_counter(plan) || self.below_ceiling(id) {
+                return self.send_on(out, id);
+            }
         }
         // The refusal is a guess: the next try shall be soon enough to be asked about in time.
         self.take_back(out, id);
@@ -713,7 +774,7 @@
     }
 
     pub fn counted(&mut self, now: f64, out: &mut dyn Outward, name: u64, answer: Counted) {
-        self.now = now;
+        self.clock(now);
         let Some(tally) = self.names.get_mut(&name) else { return };
         let Some((serial, amount, at, asker)) = tally.asked.pop_front() else { return };
         let told = if let Counted::Total(total) = answer { Some(total) } else { None };
@@ -733,7 +794,7 @@
         // Late totals have lapsed already; a call cut off in time says nothing of how quick the counter is.
         let (waited, bound) = (self.waits.remove(&serial), self.wait_bound());
         let in_time = now - at <= bound;
-        let lapsed = asker && waited.is_none();
+        let lapsed = asker && waited.is_none() || now <= self.stood_until && !in_time;
         if !lapsed && (in_time != (answer == Counted::MayBeAdded) || answer == Counted::NotAdded) {
             self.counter_was(out, told.map(|_| (now - at) / bound));
         }
@@ -771,29 +832,39 @@
     }
 
     /// Most hand-offs that this gateway keeps out at a host now.
-    fn allowed(&self, host: &Host) -> f64 {
-        if host.line.standing != Standing::Ready || host.rest_until > self.now {
+    fn allowed(&self, host: &Host, lane: usize) -> f64 {
+        let InLane { out, rests, rest_until, .. } = host.lanes[lane];
+        // One at a time in a doubted lane, whatever the others have out.
+        let doubted = rests > 0 && out > 0.0;
+        if host.line.standing != Standing::Ready || rest_until > self.now || doubted {
             return 0.0;
         }
-        if host.rests > 0 { 1.0 } else { (host.limit * self.warmth(&host.line)).ceil() }
+        (host.limit * self.warmth(&host.line)).ceil()
     }
 
     /// Room at some host and within the sum of all limits, which may each be below one among many gateways.
-    fn any_room(&self) -> bool {
+    fn any_room(&self, lane: usize) -> bool {
         // Never out less than this a warm host, over all gateways: keeps cores busy and builds no queue.
         const FLEET_LEAST: f64 = 2.0;
         let least = FLEET_LEAST / self.sharing;
         let (mut out, mut sum, mut floor, mut any) = (0.0, 0.0, 0.0, false);
-        for host in self.hosts.values().filter(|h| h.near && self.allowed(h) > 0.0) {
+        let (mut near, mut fit) = (0.0_f64, 0.0);
+        for host in self.hosts.values().filter(|h| h.near) {
+            near += 1.0;
+            if self.allowed(host, lane) == 0.0 {
+                continue;
+            }
+            fit += 1.0;
             let warmth = self.warmth(&host.line);
             (out, sum, floor) = (out + host.out, sum + host.limit * warmth, floor + least * warmth);
-            any |= host.out + 1.0 <= self.allowed(host);
+            any |= host.out + 1.0 <= self.allowed(host, lane);
         }
-        any && out + 1.0 <= sum.max(floor).max(self.fleet.limit)
+        any && out + 1.0 <= sum.max(floor).max(self.fleet.limit * fit / near.max(1.0)).max(1.0)
     }
 
     /// Weighted rotation among the hosts with room that the inquiry's lane leaves open.
     fn pick(&mut self, id: u32) -> Option<HostId> {
+        const SUITS: f64 = 3.0;
         let open = self.open.get(&id)?;
         let lane = &self.lanes[open.lane];
         let bound = open.sent.iter().find(|s| s.live || s.may_have_run);
@@ -805,10 +876,14 @@
         let mut fit: Vec<(HostId, f64, bool)> = Vec::new();
         // A repeat that is bound to a group may go to any host of it.
         let near = |h: &Host| h.near || bound.is_some() && lane.fellows != Group::All;
-        for (&id, host) in self.hosts.iter().filter(|(_, h)| near(h) && h.out + 1.0 <= self.allowed(h)) {
+        let room = |h: &Host| near(h) && h.out + 1.0 <= self.allowed(h, open.lane);
+        for (&id, host) in self.hosts.iter().filter(|(_, h)| room(h)) {
             let tried = open.sent.iter().any(|s| s.host == id);
             if fellow(&host.line) && !open.sent.iter().any(|s| s.host == id && s.live) {
-                fit.push((id, host.limit * self.warmth(&host.line), tried));
+                // A lane goes first to where others fail: the hosts that serve all are what those are left with.
+                let failing = host.lanes.iter().filter(|l| l.rests > 0).count() as f64;
+                let suits = (1.0 + failing * SUITS).max(1.0);
+                fit.push((id, host.limit * self.warmth(&host.line) * suits, tried));
             }
         }
         let untried = fit.iter().any(|f| !f.2);
@@ -827,61 +902,83 @@
         Some(chosen)
     }
 
-    fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, goal: f64) {
+    fn note_outcome(&mut self, out: &mut dyn Outward, ended: &Ended, lane: usize) {
         // Answers are steered to this part of the goal time, well inside it: 0.09 sheds on days of long work.
         const AIM: f64 = 0.13;
         // Later for the fleet, or a few slow hosts make hundreds of gateways shed: 0.13 lost a tenth there.
         const FLEET_AIM: f64 = 0.3;
         // Least limit of a host, over all gateways: three keep one out at every tenth host, to see it mend.
         const LEAST_LIMIT: f64 = 0.3;
-        let (now, part) = (self.now, (ended.took / goal).min(1.0));
+        let (now, part) = (self.now, (ended.took / self.lanes[lane].goal).min(1.0));
         let least = LEAST_LIMIT / self.sharing;
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
-        let since = now - host.heard;
+        let (since, sent_at) = (now - host.heard(), now - ended.took);
         host.out = (host.out - 1.0).max(0.0);
         self.fleet.out = (self.fleet.out - 1.0).max(0.0);
         let answered = [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome);
-        host.heard = if answered { now } else { host.heard };
-        // An error counts as a late answer: one that comes quickly must not draw more work. So does a reset:
-        // it proves no death, since answers may get lost while the host works; a dead one refuses to connect.
-        let late = [Outcome::Error, Outcome::Reset, Outcome::TimedOut, Outcome::Cancelled];
-        // Called off before its goal time, it was given up by its client: that says nothing of the host.
+        let row = &mut host.lanes[lane];
+        row.out = (row.out - 1.0).max(0.0);
+        row.heard = if answered { now } else { row.heard };
+        // Called off before its goal time, it was given up by its client: that says nothing of the host. Nor
+        // does what this gateway, standing still, heard late.
         let given_up = ended.outcome == Outcome::Cancelled && part < 1.0;
-        if ended.outcome == Outcome::Honoured || late.contains(&ended.outcome) && !given_up {
+        let unknown = given_up || ended.outcome == Outcome::NeverSent;
+        // A reset counts as a late answer. It proves no death, since answers may get lost while the host
+        // works; a dead one refuses to connect. So does silence of a host that answered others meanwhile.
+        let silent = row.heard <= sent_at;
+        let late = match ended.outcome {
+            Outcome::TimedOut | Outcome::Cancelled => !silent,
+            Outcome::Honoured | Outcome::Reset => true,
+            _ => false,
+        };
+        if late && !unknown {
             let part = if ended.outcome == Outcome::Honoured { part } else { 1.0 };
             host.steer(least, part, AIM, since);
             self.fleet.steer(1.0, part, FLEET_AIM, 0.0);
         }
-        // Nor does one silent connection of a host that has answered others meanwhile send it to rest.
-        let silent = !given_up && host.heard <= now - ended.took || ended.outcome == Outcome::ConnectFailed;
+        let row = &mut host.lanes[lane];
         match ended.outcome {
-            Outcome::Honoured => host.rests = 0,
+            Outcome::Honoured => row.rests /= 2,
             Outcome::Full => {
                 host.limit = (host.limit * 0.8).max(least);
-                host.rest_until = host.rest_until.max(now + 0.05);
+                host.lanes.iter_mut().for_each(|l| l.rest_until = l.rest_until.max(now + 0.05));
+            }
+            Outcome::ConnectFailed => self.rest(out, ended.host, None),
+            Outcome::Error => self.rest(out, ended.host, Some(lane)),
+            Outcome::TimedOut | Outcome::Cancelled if silent && !unknown => {
+                self.rest(out, ended.host, Some(lane));
             }
-            Outcome::Error | Outcome::Reset | Outcome::NeverSent => {}
-            _ if silent => self.rest(out, ended.host),
             _ => {}
         }
     }
 
-    /// After a rest a probe, where allowed, asks whether the process runs before an inquiry is risked. Guards
-    /// against inquiries spent on hosts that stay dead or cut off; a host that runs but is slow passes.
-    fn rest(&mut self, out: &mut dyn Outward, id: HostId) {
-        // The first rest, short beside a restart; the time between two lines about rests.
+    /// A lane of a host rests, or all of them where it is not reached. After a rest of all a probe, where
+    /// allowed, asks whether the process runs before an inquiry is risked. Guards against inquiries spent on
+    /// hosts that stay dead or cut off, and on a lane that a host fails while it serves the others as usual.
+    fn rest(&mut self, out: &mut dyn Outward, id: HostId, lane: Option<usize>) {
+        // The first rest of a host, short beside a restart; that of a lane, which fails for tens of seconds:
+        // 1 s spent twice the inquiries on finding that out. The time between two lines about rests.
         const FIRST_REST: f64 = 1.0;
+        const LANE_REST: f64 = 3.0;
         const TRACE_EVERY: f64 = 5.0;
-        let now = self.now;
-        let Some(host) = self.hosts.get_mut(&id).filter(|h| h.rest_until <= now) else { return };
-        host.rests += 1;
-        let length = FIRST_REST * f64::from(1 << (host.rests - 1).min(3));
-        host.rest_until = now + length;
-        if self.terms.may_probe {
-            host.rest_until = f64::INFINITY;
+        let (now, probes) = (self.now, self.terms.may_probe && lane.is_none());
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        let first = if lane.is_some() { LANE_REST } else { FIRST_REST };
+        let mut length = 0.0_f64;
+        let rows = host.lanes.iter_mut().enumerate().filter(|(n, _)| lane.is_none_or(|lane| *n == lane));
+        for (_, row) in rows.filter(|(_, row)| row.rest_until <= now) {
+            row.rests += 1;
+            let rest = first * f64::from(1 << (row.rests - 1).min(3));
+            row.rest_until = if probes { f64::INFINITY } else { now + rest };
+            length = length.max(rest);
+        }
+        if length == 0.0 {
+            return;
+        }
+        if probes {
             let step: Step = Box::new(move |gateway, out| match gateway.hosts.get_mut(&id) {
                 Some(host) if host.line.standing == Standing::Ready => out.probe(id),
-                Some(host) => host.rest_until = gateway.now,
+                Some(host) => host.lanes.iter_mut().for_each(|l| l.rest_until = gateway.now),
                 None => {}
             });
             self.after(length, step);
@@ -889,17 +986,20 @@
         self.draw_near();
         if now > self.traced_at + TRACE_EVERY {
             self.traced_at = now;
-            let resting = self.hosts.values().filter(|h| h.rests > 0).count();
-            out.trace(&format!("{resting} of {} hosts rest: unreachable or silent", self.hosts.len()));
+            let resting = self.hosts.values().filter(|h| h.lanes.iter().any(|l| l.rests > 0)).count();
+            let all = self.hosts.len();
+            out.trace(&format!(
+                "{resting} of {all} hosts rest, some in one lane: unreachable, silent, failing"
+            ));
         }
     }
 
     pub fn probed(&mut self, now: f64, out: &mut dyn Outward, id: HostId, well: bool, _load: Load) {
-        self.now = now;
-        if let Some(host) = self.hosts.get_mut(&id).filter(|h| h.rest_until > now) {
-            host.rest_until = now;
+        self.clock(now);
+        if let Some(host) = self.hosts.get_mut(&id).filter(|h| h.rests(now)) {
+            host.lanes.iter_mut().for_each(|l| l.rest_until = now);
             if !well {
-                self.rest(out, id);
+                self.rest(out, id, None);
             }
         }
         self.rouse(out);
@@ -913,44 +1013,48 @@
             self.take_back(out, id);
             return self.push_back_by_load(out, id);
         };
-        let (customer, _, units) = self.about(id);
-        self.customers.entry(customer).and_modify(|c| c.ceiling -= units);
         self.hand_off(out, id, host);
     }
 
     fn hand_off(&mut self, out: &mut dyn Outward, id: u32, host: HostId) {
         // Part of the goal time after which a hand-off is doubted: sooner mostly meets long inquiries.
-        const PATIENCE: f64 = 1.2;
+        const PATIENCE: f64 = 2.0;
         let now = self.now;
         let (Some(open), Some(to)) = (self.open.get_mut(&id), self.hosts.get_mut(&host)) else { return };
         let nth = open.sent.len() as u16;
         let HostLine { zone, cell, .. } = to.line;
         open.sent.push(Sent { host, zone, cell, at: now, live: true, may_have_run: true });
+        let lane = open.lane;
         to.out += 1.0;
+        to.lanes[lane].out += 1.0;
         self.fleet.out += 1.0;
-        let patience = self.lanes[open.lane].goal * PATIENCE;
+        let patience = self.lanes[lane].goal * PATIENCE;
         let due = self.after(patience, Box::new(move |gateway, out| gateway.impatient(out, id, nth)));
         let next: AfterHandOff = Box::new(move |gateway, out, how| gateway.after_hand_off(out, id, how));
-        self.hands.insert((id, nth), (due, next));
+        self.hands.insert((id, nth), (due, lane, next));
         out.hand_off(id, host, 0.0);
     }
 
     fn impatient(&mut self, out: &mut dyn Outward, id: u32, nth: u16) {
-        if !self.hands.contains_key(&(id, nth)) || !self.may_repeat(id) {
+        if !self.hands.contains_key(&(id, nth)) {
             return;
         }
         let Some(open) = self.open.get(&id) else { return };
         let Some(sent) = open.sent.get(usize::from(nth)) else { return };
-        let (host, at, last) = (sent.host, sent.at, open.sent.len() == usize::from(nth) + 1);
-        // A host that has answered others since is only busy, or the inquiry is long: a copy harms both.
-        if !last || open.until - self.now < 0.1 || self.hosts.get(&host).is_some_and(|h| h.heard > at) {
+        let (host, lane, at, last) = (sent.host, open.lane, sent.at, open.sent.len() == usize::from(nth) + 1);
+        // A lane that has answered others since is only busy, or the inquiry is long: a copy harms both.
+        let heard = |h: &Host| h.lanes[lane].heard > at;
+        if !last || open.until - self.now < 0.1 || self.hosts.get(&host).is_some_and(heard) {
             return;
         }
         // Among many gateways it rests at once: what it holds yet would count against the room at all others.
-        if self.sharing > f64::from(WIDE) {
-            self.rest(out, host);
+        if self.sharing > f64::from(WIDE) && self.may_repeat(id) {
+            self.rest(out, host, Some(lane));
         }
-        match (self.terms.second_copies, self.terms.may_cancel && self.any_room()) {
+        if !self.may_repeat(id) {
+            return;
+        }
+        match (self.terms.second_copies, self.terms.may_cancel && self.any_room(lane)) {
             (true, _) => self.pick(id).into_iter().for_each(|host| self.hand_off(out, id, host)),
             (_, true) => out.cancel(id, nth),
             _ => {}
@@ -962,15 +1066,14 @@
         let lane = &self.lanes[open.lane];
         let ran = open.sent.iter().filter(|s| s.live || s.may_have_run).map(|s| s.at).reduce(f64::min);
         let safe = ran.is_none_or(|at| lane.repeats && self.now < at + lane.memory);
-        safe && open.sent.len() < self.terms.most_hand_offs as usize && open.until > self.now + 1e-3
+        safe && open.sent.len() < self.terms.most_hand_offs as usize && open.of_use > self.now + 1e-3
     }
 
     pub fn ended(&mut self, now: f64, out: &mut dyn Outward, ended: Ended) {
-        self.now = now;
-        let Some((due, next)) = self.hands.remove(&(ended.inquiry, ended.nth)) else { return };
+        self.clock(now);
+        let Some((due, lane, next)) = self.hands.remove(&(ended.inquiry, ended.nth)) else { return };
         self.due.remove(&due);
-        let lane = self.open.get(&ended.inquiry).map_or(0, |o| o.lane);
-        self.note_outcome(out, &ended, self.lanes[lane].goal);
+        self.note_outcome(out, &ended, lane);
         if let Some(open) = self.open.get_mut(&ended.inquiry) {
             if let Some(sent) = open.sent.get_mut(usize::from(ended.nth)) {
                 sent.live = false;
@@ -1009,7 +1112,7 @@
     /// the client does; harms a host that sends slower: the rest takes far less from any sound one.
     pub fn reply_began(&mut self, now: f64, out: &mut dyn Outward, id: u32, nth: u16) {
         const REST_OF_REPLY: f64 = 0.1;
-        self.now = now;
+        self.clock(now);
         if self.terms.may_cancel {
             self.after(REST_OF_REPLY, Box::new(move |_, out| out.cancel(id, nth)));
         }
@@ -1018,13 +1121,14 @@
 
     /// A streamed answer has begun: it has no deadline any more, and its host is not silent.
     pub fn begun(&mut self, now: f64, id: u32, host: HostId) {
-        self.now = now;
+        self.clock(now);
         self.open.entry(id).and_modify(|o| o.until = f64::INFINITY);
-        self.hosts.entry(host).and_modify(|h| h.heard = now);
+        let lane = self.open.get(&id).map_or(0, |o| o.lane);
+        self.hosts.entry(host).and_modify(|h| h.lanes[lane].heard = now);
     }
 
     pub fn left(&mut self, now: f64, out: &mut dyn Outward, id: u32) {
-        self.now = now;
+        self.clock(now);
         self.close(out, id);
         self.rouse(out);
     }
@@ -1070,6 +1174,23 @@
 }
 
 impl Host {
+    /// Started again: what it holds of this gateway's is still counted, the rest is forgotten.
+    fn begin_anew(&mut self, fresh: Host) {
+        let before = std::mem::replace(self, fresh);
+        self.out = before.out;
+        self.lanes.iter_mut().zip(&before.lanes).for_each(|(lane, before)| lane.out = before.out);
+    }
+
+    /// Rests in every lane: it is not reached, or silent altogether.
+    fn rests(&self, now: f64) -> bool {
+        self.lanes.iter().all(|l| l.rest_until > now)
+    }
+
+    /// When it last answered anything.
+    fn heard(&self) -> f64 {
+        self.lanes.iter().map(|l| l.heard).fold(0.0, f64::max)
+    }
+
     /// Moves the limit so that answers take `aim` of the goal time on average. Guards against overdriven
     /// hosts; covers slow and failing ones, jams, restarts. Could harm where all work suddenly gets long.
     /// `since` is the time since the host's last answer: one heard of seldom moves further at a time.
