--- a/src/logic.rs
+++ b/src/logic.rs
@@ -391,7 +391,7 @@
         const FIRST_LIMIT: f64 = 5.0;
         // Thirty and twelve spread work more evenly and were worse: hearing of a host often is worth more.
         const GATEWAYS_A_HOST: f64 = 12.0;
-        const LEAST_NEAR: f64 = 8.0;
+        const LEAST_NEAR: f64 = 6.0;
         let gateways = f64::from(self.terms.gateways.max(1));
         let mut ready: Vec<_> =
             self.hosts.iter().filter(|(_, h)| h.line.standing == Standing::Ready).collect();
@@ -957,9 +957,9 @@
     /// hosts that stay dead or cut off, and on a lane that a host fails while it serves the others as usual.
     fn rest(&mut self, out: &mut dyn Outward, id: HostId, lane: Option<usize>) {
         // The first rest of a host, short beside a restart; that of a lane, which fails for tens of seconds:
-        // 1 s spent twice the inquiries on finding that out. The time between two lines about rests.
+        // 1 s spent twice the inquiries on finding that out, 3 and 10 s a few more. The time between two lines about rests.
         const FIRST_REST: f64 = 1.0;
-        const LANE_REST: f64 = 3.0;
+        const LANE_REST: f64 = 6.0;
         const TRACE_EVERY: f64 = 5.0;
         let (now, probes) = (self.now, self.terms.may_probe && lane.is_none());
         let Some(host) = self.hosts.get_mut(&id) else { return };
