--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -96,7 +96,6 @@
     Ok(PlanTerms {
         rate: number("rate")?,
         burst: number("burst")?,
-        most_out: number("max-out")?,
         over_earns: number("over-worth")?,
         over_costs: number("excess-cost")?,
         price: facts.number_or(&format!("contracts.{n}.price"), 1.0)?,
@@ -116,6 +115,13 @@
 pub fn from_json(settings: &Value) -> Result<Told, String> {
     let mut flat = BTreeMap::new();
     flatten(settings, String::new(), &mut flat);
+    let capped =
+        flat.iter().find(|(key, value)| key.ends_with(".max-out") && *value != "0" && *value != "0.0");
+    if let Some((key, _)) = capped {
+        return Err(format!(
+            "{key}: a cap on hand-offs open at once is not kept; give the plan a rate, or 0 here"
+        ));
+    }
     read(Facts(flat))
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -30,12 +30,11 @@
     pub memory: f64,
 }
 
-/// A plan's quota; 0 in `rate`, `most_out` or `ceiling_rate` means that there is no such limit.
+/// A plan's quota; 0 in `rate` or `ceiling_rate` means that there is no such limit.
 #[derive(Clone, Debug, Default)]
 pub struct PlanTerms {
     pub rate: f64,
     pub burst: f64,
-    pub most_out: f64,
     pub over_earns: f64,
     pub over_costs: f64,
     pub price: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,7 @@
 //! Every decision of archlink. The types and the trait `Outward` stand in `interface.rs`. A front makes a
 //! `Gateway` with `start` and calls it with what happens, in order, with its clock. Each call acts through
 //! the `Outward` handed in. A gateway shares nothing; the same calls give the same actions. Each inquiry goes
-//! `arrived` -> quota (`ask_tier`, `ask_open`) -> `send_on` -> `after_hand_off` -> an answer; what comes
-//! after a wait is left behind as a closure that is handed the result.
+//! `arrived` -> `ask_quota` -> `send_on` -> `after_hand_off` -> an answer; closures hold what waits.
 
 use crate::again::Again;
 use crate::interface::*;
@@ -19,7 +18,7 @@
 /// One row a lane: what may be done again, where, and for how long.
 struct Lane {
     goal: f64,
-    late_worth: f64,
+    of_use: f64,
     repeats: bool,
     fellows: Group,
     memory: f64,
@@ -33,14 +32,9 @@
             Effect::Receipted => (true, terms.group, terms.memory, terms.group == Group::All),
             Effect::Effectful => (false, Group::All, 0.0, false),
         };
-        Lane {
-            goal: terms.goal.max(0.001),
-            late_worth: terms.late_worth,
-            repeats,
-            fellows,
-            memory,
-            refusable,
-        }
+        let goal = terms.goal.max(0.001);
+        let of_use = if terms.late_worth > 0.0 { f64::INFINITY } else { goal };
+        Lane { goal, of_use, repeats, fellows, memory, refusable }
     }
 }
 
@@ -84,9 +78,19 @@
     tiers
 }
 
-/// What a plan's tiers grant at most, in parts of its quota: a tier beyond it grants as much again.
-fn most_of_quota(plan: &PlanTerms) -> f64 {
-    if plan.over_earns > plan.over_costs { 2.0 } else { 1.0 }
+/// Whether the counter's totals keep a plan's ceiling; rate and burst that gateways share evenly. What totals
+/// let on, over all gateways, stays below the quota, and so below a ceiling above it: only what
+/// is let on without them needs a part of what is left. All of it where nothing is counted.
+fn ceiling(plan: &PlanTerms, may_count: bool) -> (bool, f64, f64) {
+    // A tier beyond the quota grants as much again.
+    let granted = if plan.over_earns > plan.over_costs { 2.0 } else { 1.0 };
+    let (rate, burst) = (plan.ceiling_rate, plan.ceiling_burst);
+    let left = (rate - granted * plan.rate, burst - granted * plan.burst);
+    match may_count && plan.rate > 0.0 && left.0 > 0.0 && left.1 > 0.0 {
+        _ if rate <= 0.0 => (true, f64::INFINITY, f64::INFINITY),
+        true => (true, left.0, left.1),
+        false => (false, rate, burst),
+    }
 }
 
 /// Names live two windows and a margin, a minute at the most on the counter.
@@ -168,8 +172,6 @@
     /// Tier known to be in force, and until when.
     entered: (usize, f64),
     taken_until: [f64; 3],
-    out: f64,
-    open_slot: u64,
     ceiling: f64,
     ceiling_at: f64,
 }
@@ -185,7 +187,6 @@
     of_use: f64,
     count_by: f64,
     sent: Vec<Sent>,
-    holds_place: bool,
     /// The window that took its units, for settling, and how many it took.
     charged: Option<(u64, f64, f64)>,
 }
@@ -225,6 +226,7 @@
     terms: Terms,
     lanes: Vec<Lane>,
     tiers: Vec<Vec<Tier>>,
+    ceilings: Vec<(bool, f64, f64)>,
     now: f64,
     chance: oorandom::Rand64,
     hosts: BTreeMap<HostId, Host>,
@@ -259,6 +261,7 @@
     pub fn start(terms: Terms, seed: u64, now: f64, out: &mut dyn Outward) -> Gateway {
         let mut gateway = Gateway {
             lanes: terms.lanes.iter().map(Lane::of).collect(),
+            ceilings: terms.plans.iter().map(|p| ceiling(p, terms.may_count)).collect(),
             tiers: terms.plans.iter().map(|p| tiers(p, terms.most_units)).collect(),
             now,
             chance: oorandom::Rand64::new(u128::from(seed)),
@@ -305,23 +308,21 @@
         }
     }
 
-    /// A timer this late: the gateway stood still. What came meanwhile is heard first, or due steps take hosts
-    /// for silent, the counter for dead; and how late it is heard says nothing of hosts or counter. Covers
-    /// paused processes and clock jumps; costs `STILL_HEARS`.
-    fn clock(&mut self, now: f64) {
-        if now > self.wake_at + STOOD_STILL {
-            self.stood_until = now + STILL_HEARS;
-        }
+    /// A timer this late: the gateway stood still. What came meanwhile is heard first, or due steps take
+    /// hosts for silent, the counter for dead, as calls heard late do. Covers pauses and clock jumps.
+    fn clock(&mut self, now: f64) -> bool {
+        let stood = now > self.wake_at + STOOD_STILL;
+        self.stood_until = if stood { now + STILL_HEARS } else { self.stood_until };
         self.now = now;
+        stood
     }
 
     pub fn woken(&mut self, now: f64, out: &mut dyn Outward) {
-        let late = now > self.wake_at + STOOD_STILL;
-        self.clock(now);
+        let stood = self.clock(now);
         if now + 2e-6 < self.wake_at {
             return;
         }
-        if late {
+        if stood {
             // But an inquiry whose client's time is up, or nearly, has this turn alone to be answered.
             let last = self.open.iter().filter(|(_, o)| o.sent.is_empty() && o.until < now + STOOD_STILL);
             for id in last.map(|(id, _)| *id).collect::<Vec<_>>() {
@@ -337,21 +338,16 @@
         }
         if now + 2e-6 >= self.round_at {
             self.round_at = now + ROUND;
-            self.round(now, out);
+            self.round(now);
         }
         self.rouse(out);
     }
 
-    fn round(&mut self, now: f64, out: &mut dyn Outward) {
+    fn round(&mut self, now: f64) {
         // A customer not seen for this long is new again: longer than any window, tier or name lives.
         const FORGET: f64 = 60.0;
-        let slot = (now / OPEN_SLOT) as u64;
-        let stale = self.customers.iter().filter(|(_, c)| c.out > 0.0 && c.open_slot != slot);
-        for customer in stale.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.state_open(out, customer, None);
-        }
         self.names.retain(|_, t| t.expires > now || !t.asked.is_empty());
-        self.customers.retain(|_, c| c.seen + FORGET > now || c.out > 0.0);
+        self.customers.retain(|_, c| c.seen + FORGET > now);
         self.hosts.retain(|_, h| h.line.standing != Standing::Gone || h.out > 0.0);
         self.draw_near();
     }
@@ -400,7 +396,6 @@
         let most = (GATEWAYS_A_HOST * all / gateways).ceil().max(LEAST_NEAR).min(all.max(1.0));
         self.sharing = (gateways * most / all.max(1.0)).max(1.0);
         let near: Vec<HostId> = ready.iter().take(most as usize).map(|(id, _)| **id).collect();
-        // All hosts get a first limit: repeats that are bound to a group go to far ones too.
         for (id, host) in &mut self.hosts {
             host.near = near.contains(id);
             host.limit = if host.limit == 0.0 { FIRST_LIMIT / self.sharing } else { host.limit };
@@ -414,7 +409,6 @@
         if cold { from + (1.0 - from) * (age / self.terms.warm_up).max(0.0) } else { 1.0 }
     }
 
-    /// An open inquiry's customer, plan and units.
     fn about(&self, id: u32) -> (u64, usize, f64) {
         let open = &self.open[&id];
         (open.customer, open.plan, open.units)
@@ -436,90 +430,34 @@
         };
         self.customers.entry(customer).or_insert_with(fresh).seen = now;
         let until = now + left;
-        let of_use =
-            if self.lanes[lane].late_worth > 0.0 { until } else { until.min(now + self.lanes[lane].goal) };
+        let of_use = until.min(now + self.lanes[lane].of_use);
         let count_by = (now + 2.0 * self.wait_bound()).min(until - 0.005);
-        self.open
-            .insert(id, Open { lane, plan, customer, units, until, of_use, count_by, ..Open::default() });
+        let open = Open { lane, plan, customer, units, until, of_use, count_by, ..Open::default() };
+        self.open.insert(id, open);
         match self.any_room(lane) {
-            true => self.ask_open(out, id),
+            true => self.ask_quota(out, id),
             false => self.push_back_by_load(out, id),
         }
         self.rouse(out);
     }
 
-    /// A hard ceiling lies above the quota: what the counter's totals let on, over all gateways, stays below
-    /// the quota, so only what is let on without them needs a bound that needs no counter. Each gateway fills
-    /// its even part of what the ceiling leaves beyond the quota (all of it where nothing is counted), from
-    /// nothing at a start: restarts would else grant the stored part twice. True if this inquiry fits into it.
+    /// Fills this gateway's even part of a ceiling, from nothing at a start: restarts would else grant
+    /// what is stored twice. True if the inquiry fits into it, which it then has taken.
     fn below_ceiling(&mut self, id: u32) -> bool {
-        let open = &self.open[&id];
-        let plan = &self.terms.plans[open.plan];
-        if plan.ceiling_rate <= 0.0 {
-            return true;
-        }
-        let counted = if self.by_counter(open.plan) { most_of_quota(plan) } else { 0.0 };
-        let Some(known) = self.customers.get_mut(&open.customer) else { return false };
-        let rate = (plan.ceiling_rate - counted * plan.rate) * known.even;
-        let grown = known.ceiling + (self.now - known.ceiling_at) * rate;
-        known.ceiling = grown.min((plan.ceiling_burst - counted * plan.burst) * known.even);
-        known.ceiling_at = self.now;
-        let fits = known.ceiling + 1e-9 >= open.units;
-        known.ceiling -= if fits { open.units } else { 0.0 };
+        let (customer, plan, units) = self.about(id);
+        let (_, rate, burst) = self.ceilings[plan];
+        let Some(known) = self.customers.get_mut(&customer) else { return false };
+        let grown = known.ceiling + (self.now - known.ceiling_at) * rate * known.even;
+        (known.ceiling, known.ceiling_at) = (grown.min(burst * known.even), self.now);
+        let fits = rate.is_infinite() || known.ceiling + 1e-9 >= units;
+        known.ceiling -= if fits { units } else { 0.0 };
         fits
     }
 
-    /// Whether totals alone keep a plan's customers below its ceiling.
-    fn by_counter(&self, plan: usize) -> bool {
-        let terms = &self.terms.plans[plan];
-        let above = |ceiling: f64, quota: f64| ceiling > most_of_quota(terms) * quota;
-        let over = above(terms.ceiling_rate, terms.rate) && above(terms.ceiling_burst, terms.burst);
-        self.terms.may_count && terms.rate > 0.0 && (terms.ceiling_rate <= 0.0 || over)
-    }
-
-    /// A plan's cap on hand-offs open at once: each gateway states its own in a slot, with which they lapse.
-    fn ask_open(&mut self, out: &mut dyn Outward, id: u32) {
-        let (customer, plan, _) = self.about(id);
-        let most = self.terms.plans[plan].most_out;
-        if most <= 0.0 {
-            return self.ask_quota(out, id);
-        }
-        self.open.entry(id).and_modify(|o| o.holds_place = true);
-        let Some(known) = self.customers.get_mut(&customer) else { return };
-        known.out += 1.0;
-        let (mine, share) = (known.out, known.share);
-        // Alone: the own part of the cap, a broken place by chance.
-        let next: AfterCount = Box::new(move |gateway, out, total| {
-            let chance = gateway.chance.rand_float();
-            let room = total.map_or(mine <= most * share + chance, |total| total <= most + 0.01);
-            match (gateway.open.contains_key(&id), room) {
-                (false, _) => {}
-                (_, true) => gateway.ask_quota(out, id),
-                (_, false) => gateway.push_back(out, id, OPEN_SOON),
-            }
-        });
-        if self.may_ask() {
-            return self.state_open(out, customer, Some((id, next)));
-        }
-        self.state_open(out, customer, None);
-        next(self, out, None);
-    }
-
-    fn state_open(&mut self, out: &mut dyn Outward, customer: u64, next: Asker) {
-        let slot = (self.now / OPEN_SLOT) as u64;
-        let Some(known) = self.customers.get_mut(&customer) else { return };
-        known.open_slot = slot;
-        let (mine, name) = (known.out, name(customer, 7, slot));
-        self.tally(name, OPEN_SLOT * 2.0).held = mine;
-        if next.is_some() || self.may_ask() {
-            self.push(out, name, OPEN_SLOT * 2.0, next);
-        }
-    }
-
     fn ask_quota(&mut self, out: &mut dyn Outward, id: u32) {
         let (customer, plan, _) = self.about(id);
         let (tier, until) = self.customers[&customer].entered;
-        match (self.by_counter(plan) || self.below_ceiling(id), self.tiers[plan].is_empty()) {
+        match (self.ceilings[plan].0 || self.below_ceiling(id), self.tiers[plan].is_empty()) {
             (false, _) => self.push_back_by_load(out, id),
             (_, true) => self.send_on(out, id),
             _ => self.ask_tier(out, id, if until > self.now { tier } else { 0 }),
@@ -705,8 +643,7 @@
         let PlanTerms { rate, burst, over_costs, .. } = self.terms.plans[plan];
         let Some(known) = self.customers.get_mut(&customer) else { return };
         let cost = units / known.share.max(LEAST_SHARE);
-        // Four bursts at most, and few where an inquiry is a small part of one: four gateways lost 0.05 of G.
-        // At a hundred none, 1, 2 and 100 bursts at a cost of a half gave 0.550, 0.570, 0.580 and 0.552.
+        // Four bursts at most, and few where an inquiry is a small part of one: a few gateways lost by more.
         let guess = (cost / burst.max(1e-9)).min(1.0);
         let spared = if over_costs > 0.0 { guess * guess * burst / over_costs.max(0.25) } else { 0.0 };
         let slide = &mut known.slides[0];
@@ -714,7 +651,7 @@
         let room = (grown - slide.ahead).min(burst);
         if room + (grown - slide.room).min(burst) + spared + 1e-9 >= cost.min(burst.max(units)) {
             slide.ahead = grown - room + cost;
-            if !self.by_counter(plan) || self.below_ceiling(id) {
+            if !self.ceilings[plan].0 || self.below_ceiling(id) {
                 return self.send_on(out, id);
             }
         }
@@ -807,9 +744,9 @@
 
     /// How long a call took, as a part of the bound on waits; none where it failed.
     fn counter_was(&mut self, out: &mut dyn Outward, took: Option<f64>) {
-        // Part that asks: one failed call in five leaves it high, ten in a row bring it to the least, which
+        // Part that asks: one failed call in ten leaves it high, six in a row bring it to the least, which
         // still tries several times a second.
-        const ASK_LESS: f64 = 0.8;
+        const ASK_LESS: f64 = 0.6;
         const ASK_MORE: f64 = 1.05;
         // Answers well inside the bound: not crowded, and a gateway of few inquiries is back within seconds.
         const QUICK: f64 = 0.5;
@@ -842,7 +779,8 @@
         (host.limit * self.warmth(&host.line)).ceil()
     }
 
-    /// Room at some host and within the sum of all limits, which may each be below one among many gateways.
+    /// Room at a host that serves the lane, and within the sum of such hosts' limits, each perhaps below one,
+    /// or within their part of what may be out at the near hosts at least.
     fn any_room(&self, lane: usize) -> bool {
         // Never out less than this a warm host, over all gateways: keeps cores busy and builds no queue.
         const FLEET_LEAST: f64 = 2.0;
@@ -851,19 +789,19 @@
         let (mut near, mut fit) = (0.0_f64, 0.0);
         for host in self.hosts.values().filter(|h| h.near) {
             near += 1.0;
-            if self.allowed(host, lane) == 0.0 {
-                continue;
+            let allowed = self.allowed(host, lane);
+            if allowed > 0.0 {
+                let warmth = self.warmth(&host.line);
+                (out, sum, floor) = (out + host.out, sum + host.limit * warmth, floor + least * warmth);
+                (fit, any) = (fit + 1.0, any || host.out + 1.0 <= allowed);
             }
-            fit += 1.0;
-            let warmth = self.warmth(&host.line);
-            (out, sum, floor) = (out + host.out, sum + host.limit * warmth, floor + least * warmth);
-            any |= host.out + 1.0 <= self.allowed(host, lane);
         }
-        any && out + 1.0 <= sum.max(floor).max(self.fleet.limit * fit / near.max(1.0)).max(1.0)
+        any && out + 1.0 <= sum.max(floor).max(self.fleet.limit * fit / near).max(1.0)
     }
 
     /// Weighted rotation among the hosts with room that the inquiry's lane leaves open.
     fn pick(&mut self, id: u32) -> Option<HostId> {
+        // How much sooner a lane goes to where another rests: what serves all is what that one is left with.
         const SUITS: f64 = 3.0;
         let open = self.open.get(&id)?;
         let lane = &self.lanes[open.lane];
@@ -880,9 +818,7 @@
         for (&id, host) in self.hosts.iter().filter(|(_, h)| room(h)) {
             let tried = open.sent.iter().any(|s| s.host == id);
             if fellow(&host.line) && !open.sent.iter().any(|s| s.host == id && s.live) {
-                // A lane goes first to where others fail: the hosts that serve all are what those are left with.
-                let failing = host.lanes.iter().filter(|l| l.rests > 0).count() as f64;
-                let suits = (1.0 + failing * SUITS).max(1.0);
+                let suits = 1.0 + SUITS * host.lanes.iter().filter(|l| l.rests > 0).count() as f64;
                 fit.push((id, host.limit * self.warmth(&host.line) * suits, tried));
             }
         }
@@ -912,26 +848,21 @@
         let (now, part) = (self.now, (ended.took / self.lanes[lane].goal).min(1.0));
         let least = LEAST_LIMIT / self.sharing;
         let Some(host) = self.hosts.get_mut(&ended.host) else { return };
-        let (since, sent_at) = (now - host.heard(), now - ended.took);
+        let since = now - host.lanes.iter().map(|l| l.heard).fold(0.0, f64::max);
         host.out = (host.out - 1.0).max(0.0);
         self.fleet.out = (self.fleet.out - 1.0).max(0.0);
         let answered = [Outcome::Honoured, Outcome::Error, Outcome::Full].contains(&ended.outcome);
         let row = &mut host.lanes[lane];
         row.out = (row.out - 1.0).max(0.0);
         row.heard = if answered { now } else { row.heard };
-        // Called off before its goal time, it was given up by its client: that says nothing of the host. Nor
-        // does what this gateway, standing still, heard late.
-        let given_up = ended.outcome == Outcome::Cancelled && part < 1.0;
-        let unknown = given_up || ended.outcome == Outcome::NeverSent;
-        // A reset counts as a late answer. It proves no death, since answers may get lost while the host
-        // works; a dead one refuses to connect. So does silence of a host that answered others meanwhile.
-        let silent = row.heard <= sent_at;
-        let late = match ended.outcome {
-            Outcome::TimedOut | Outcome::Cancelled => !silent,
-            Outcome::Honoured | Outcome::Reset => true,
-            _ => false,
+        // Called off before its goal time, it was given up by its client: that says nothing of the host.
+        // Silence where others were answered meanwhile is a late answer; so is a reset: answers get lost.
+        let unanswered = match ended.outcome {
+            Outcome::Cancelled => part >= 1.0,
+            outcome => outcome == Outcome::TimedOut,
         };
-        if late && !unknown {
+        let silent = unanswered && row.heard <= now - ended.took;
+        if unanswered && !silent || [Outcome::Honoured, Outcome::Reset].contains(&ended.outcome) {
             let part = if ended.outcome == Outcome::Honoured { part } else { 1.0 };
             host.steer(least, part, AIM, since);
             self.fleet.steer(1.0, part, FLEET_AIM, 0.0);
@@ -944,10 +875,7 @@
                 host.lanes.iter_mut().for_each(|l| l.rest_until = l.rest_until.max(now + 0.05));
             }
             Outcome::ConnectFailed => self.rest(out, ended.host, None),
-            Outcome::Error => self.rest(out, ended.host, Some(lane)),
-            Outcome::TimedOut | Outcome::Cancelled if silent && !unknown => {
-                self.rest(out, ended.host, Some(lane));
-            }
+            outcome if silent || outcome == Outcome::Error => self.rest(out, ended.host, Some(lane)),
             _ => {}
         }
     }
@@ -956,8 +884,8 @@
     /// allowed, asks whether the process runs before an inquiry is risked. Guards against inquiries spent on
     /// hosts that stay dead or cut off, and on a lane that a host fails while it serves the others as usual.
     fn rest(&mut self, out: &mut dyn Outward, id: HostId, lane: Option<usize>) {
-        // The first rest of a host, short beside a restart; that of a lane, which fails for tens of seconds:
-        // 1 s spent twice the inquiries on finding that out, 3 and 10 s a few more. The time between two lines about rests.
+        // The first rest of a host, short beside a restart; of a lane, which fails for tens of seconds: 1 s
+        // spent twice the inquiries on finding that out, 3 and 10 s a few more. The time between two traces.
         const FIRST_REST: f64 = 1.0;
         const LANE_REST: f64 = 6.0;
         const TRACE_EVERY: f64 = 5.0;
@@ -965,12 +893,13 @@
         let Some(host) = self.hosts.get_mut(&id) else { return };
         let first = if lane.is_some() { LANE_REST } else { FIRST_REST };
         let mut length = 0.0_f64;
-        let rows = host.lanes.iter_mut().enumerate().filter(|(n, _)| lane.is_none_or(|lane| *n == lane));
-        for (_, row) in rows.filter(|(_, row)| row.rest_until <= now) {
-            row.rests += 1;
-            let rest = first * f64::from(1 << (row.rests - 1).min(3));
-            row.rest_until = if probes { f64::INFINITY } else { now + rest };
-            length = length.max(rest);
+        for (n, row) in host.lanes.iter_mut().enumerate() {
+            if row.rest_until <= now && lane.is_none_or(|lane| lane == n) {
+                row.rests += 1;
+                let rest = first * f64::from(1 << (row.rests - 1).min(3));
+                row.rest_until = if probes { f64::INFINITY } else { now + rest };
+                length = length.max(rest);
+            }
         }
         if length == 0.0 {
             return;
@@ -987,10 +916,7 @@
         if now > self.traced_at + TRACE_EVERY {
             self.traced_at = now;
             let resting = self.hosts.values().filter(|h| h.lanes.iter().any(|l| l.rests > 0)).count();
-            let all = self.hosts.len();
-            out.trace(&format!(
-                "{resting} of {all} hosts rest, some in one lane: unreachable, silent, failing"
-            ));
+            out.trace(&format!("{resting} of {} hosts rest, wholly or in a lane", self.hosts.len()));
         }
     }
 
@@ -1044,16 +970,14 @@
         let (host, lane, at, last) = (sent.host, open.lane, sent.at, open.sent.len() == usize::from(nth) + 1);
         // A lane that has answered others since is only busy, or the inquiry is long: a copy harms both.
         let heard = |h: &Host| h.lanes[lane].heard > at;
-        if !last || open.until - self.now < 0.1 || self.hosts.get(&host).is_some_and(heard) {
+        let spared = !last || open.until - self.now < 0.1 || self.hosts.get(&host).is_some_and(heard);
+        if spared || !self.may_repeat(id) {
             return;
         }
         // Among many gateways it rests at once: what it holds yet would count against the room at all others.
-        if self.sharing > f64::from(WIDE) && self.may_repeat(id) {
+        if self.sharing > f64::from(WIDE) {
             self.rest(out, host, Some(lane));
         }
-        if !self.may_repeat(id) {
-            return;
-        }
         match (self.terms.second_copies, self.terms.may_cancel && self.any_room(lane)) {
             (true, _) => self.pick(id).into_iter().for_each(|host| self.hand_off(out, id, host)),
             (_, true) => out.cancel(id, nth),
@@ -1166,10 +1090,6 @@
                 out.cancel(id, nth as u16);
             }
         }
-        if open.holds_place {
-            self.customers.entry(open.customer).and_modify(|c| c.out = (c.out - 1.0).max(0.0));
-            self.state_open(out, open.customer, None);
-        }
     }
 }
 
@@ -1186,11 +1106,6 @@
         self.lanes.iter().all(|l| l.rest_until > now)
     }
 
-    /// When it last answered anything.
-    fn heard(&self) -> f64 {
-        self.lanes.iter().map(|l| l.heard).fold(0.0, f64::max)
-    }
-
     /// Moves the limit so that answers take `aim` of the goal time on average. Guards against overdriven
     /// hosts; covers slow and failing ones, jams, restarts. Could harm where all work suddenly gets long.
     /// `since` is the time since the host's last answer: one heard of seldom moves further at a time.
@@ -1212,7 +1127,6 @@
     mix((customer << 31) | (what << 28) | (index & 0x0fff_ffff))
 }
 
-/// One to one, and without any order.
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -1225,7 +1139,4 @@
     (turns as u64 + 1, turns.fract())
 }
 
-/// A dead gateway's open places stay counted two slots at most; advice when all are taken: a hand-off's time.
-const OPEN_SLOT: f64 = 4.0;
-const OPEN_SOON: f64 = 0.2;
 const MOST_LIMIT: f64 = 64.0;
