--- a/gateway/src/book.rs
+++ b/gateway/src/book.rs
@@ -52,6 +52,7 @@
         self.told = true;
         let Job { inquiry, nth, host, at, .. } = self.job;
         let load = reply.as_ref().map_or(Load::default(), |reply| reply.load);
+        let true_units = reply.as_ref().filter(|_| outcome == Outcome::Honoured).map_or(0.0, |r| r.units);
         self.hall.call(|module, now, hands| {
             hands.out.remove(&(inquiry, nth));
             if let Some(reply) = reply.filter(|_| outcome == Outcome::Honoured) {
@@ -59,11 +60,7 @@
             }
             let over = !hands.is_open(inquiry);
             let took = now - at;
-            module.ended(
-                now,
-                hands,
-                Ended { inquiry, nth, over, outcome, took, true_units: 0.0, host, load },
-            );
+            module.ended(now, hands, Ended { inquiry, nth, over, outcome, took, true_units, host, load });
         });
     }
 }
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -89,6 +89,8 @@
     /// The host says that it never ran.
     pub declined: bool,
     pub load: Load,
+    /// What the inquiry really counted; 0 where the host says nothing of it.
+    pub units: f64,
     pub passed: Vec<u8>,
     pub body: Bytes,
     pub held: Option<Held>,
@@ -213,7 +215,7 @@
 }
 
 /// Headers that belong to one connection, or to this gateway, and so are not passed on.
-const OWN: [&str; 14] = [
+const OWN: [&str; 15] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -227,10 +229,14 @@
     "expect",
     REQ_DEADLINE,
     SRV_LOAD,
+    SRV_UNITS,
     SRV_DECLINED,
 ];
 const REQ_DEADLINE: &str = "req-deadline";
+/// True units beyond this are taken for damage and cut to it.
+const MOST_UNITS: f64 = 1e6;
 const SRV_LOAD: &str = "srv-load";
+const SRV_UNITS: &str = "srv-units";
 const SRV_DECLINED: &str = "srv-declined";
 
 fn lines(headers: &[Header]) -> Option<Lines> {
@@ -530,6 +536,9 @@
                 status,
                 declined: header(response.headers, SRV_DECLINED) == Some("1"),
                 load: header(response.headers, SRV_LOAD).map_or(Load::default(), load),
+                units: header(response.headers, SRV_UNITS)
+                    .and_then(number)
+                    .map_or(0.0, |n| n.min(MOST_UNITS)),
                 passed: lines.passed,
                 body: Bytes::new(),
                 held: None,
@@ -592,7 +601,7 @@
         POST /file?customer=8 HTTP/1.1\r\nReq-Id: 2\r\nX-Tariff: team\r\nReq-Deadline: 1\r\nIdempotency-Key: k\r\n\
         Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n1\r\nd\r\n0\r\nT: x\r\n\r\n\r\nGET /up HTTP/1.1\r\n\r\n\
         POST /look HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde";
-    const REPLIED: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\nSrv-Load: util=0.5,x=1\r\n\r\n\
+    const REPLIED: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\nSrv-Load: util=0.5,x=1\r\nSrv-Units: 3\r\n\r\n\
         abcHTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n\
         Transfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\n";
 
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -64,6 +64,8 @@
     CloseAfterwards,
     Slow,
     Large,
+    /// Tells that the inquiry counted three units more than was guessed.
+    Dearer,
     Half,
     /// Holds one connection and turns what comes on any further one away.
     Limited,
@@ -132,6 +134,7 @@
                 How::Well | How::Large => {
                     to.write_all(&whole("200 OK\r\nSrv-Load: util=0.5,latency_ms=7")).ok()?
                 }
+                How::Dearer => to.write_all(&whole("200 OK\r\nSrv-Units: 4")).ok()?,
                 How::Limited if seen.open.load(Ordering::SeqCst) > 1 => {
                     return to.write_all(&whole("503 Busy\r\nSrv-Declined: 1\r\nConnection: close")).ok();
                 }
@@ -326,7 +329,7 @@
     let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let lane = |name: &str, effect: &str, scope: &str| {
         json!({"name": name, "on-time-us": 300_000, "deadline-us": 3_000_000, "effect": effect,
-            "key-scope": scope, "memory-span-us": 10_000_000})
+            "key-scope": scope, "memory-span-us": 10_000_000, "late-share": 1})
     };
     let entries: Vec<Value> = hosts.iter().enumerate().map(|(n, h)| entry(n, h, "ready")).collect();
     json!({"name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(),
@@ -334,7 +337,7 @@
         "known": {"version": 1, "full": true, "servers": entries},
         "settings": {
             "classes": [lane("look", "pure", "all"), lane("file", "token", "cell"), lane("pay", "side_effect", "all")],
-            "contracts": [{"name": "team", "rate": 1000.0, "burst": 1000.0}, {"name": "tiny", "rate": 0.1, "burst": 2.0}],
+            "contracts": [{"name": "team", "rate": 1000.0, "burst": 1000.0, "max-out": 0}, {"name": "tiny", "rate": 0.1, "burst": 2.0}],
             "peers-total": 1, "zones": ["a"], "kinds": ["k"], "discovery": "automatic",
             "telemetry": {"fields": ["busy", "lat_ms"], "how": "piggyback"},
             "domain": {"may-count": true, "counter-timeout-us": 30_000, "most-units": 4},
@@ -664,6 +667,34 @@
     assert_eq!(hosts[0].got(), 2);
 }
 
+/// The settings of the move: quotas by what hosts say that an inquiry counted, and no word of when to come back.
+#[test]
+fn units_are_settled_and_advice_is_left_out_where_the_settings_say_so() {
+    let granted = |settles: bool| {
+        let hosts = [Host::start(How::Dearer)];
+        let list = List::default();
+        let mut told = configuration(counter(Count::Well).0, list.start(), &hosts);
+        told["settings"]["domain"]["settles"] = json!(settles);
+        told["settings"]["limits"]["retry-after"] = json!(false);
+        told["settings"]["classes"][0]["late-share"] = json!(0);
+        told["settings"]["contracts"][1] = json!({"name": "tiny", "rate": 1.0, "burst": 12.0});
+        let gateway = start(&format!("settled-{settles}"), &told, list);
+        (0..12).filter(|id| gateway.ask(&inquiry("GET", "look", "tiny", *id, 2.5, b"")).0 == 200).count()
+    };
+    let hosts = [Host::start(How::Well)];
+    let list = List::default();
+    let mut told = configuration(counter(Count::Well).0, list.start(), &hosts);
+    told["settings"]["limits"]["retry-after"] = json!(false);
+    let gateway = start("no-advice", &told, list);
+    (0..2).for_each(|id| assert_eq!(gateway.ask(&inquiry("GET", "look", "tiny", id, 2.5, b"")).0, 200));
+    let mut stream = TcpStream::connect(gateway.address).unwrap();
+    stream.write_all(&inquiry("GET", "look", "tiny", 2, 2.5, b"")).unwrap();
+    let (first, headers, _) = message(&mut BufReader::new(stream)).unwrap();
+    assert!(first.contains(" 429 ") && !headers.contains_key("retry-after"), "{first} {headers:?}");
+    let (guessed, settled) = (granted(false), granted(true));
+    assert!(settled * 2 < guessed, "{guessed} of one unit each, {settled} that count four");
+}
+
 /// Windows carry the same numbers at every gateway, or each would grant the quota by itself.
 #[test]
 fn two_gateways_grant_one_quota_together() {
@@ -1076,6 +1107,8 @@
         ("settings.classes.0.effect", "/settings/classes/0/effect", json!("maybe")),
         ("settings.limits.max-attempts", "/settings/limits/max-attempts", json!("many")),
         ("settings.contracts.1.rate", "/settings/contracts/1/rate", json!(-2)),
+        ("settings.classes.0.late-share", "/settings/classes/0/late-share", json!(1.5)),
+        ("settings.contracts.0.max-out", "/settings/contracts/0/max-out", json!(3)),
     ] {
         let mut wrong = configuration(dead, dead, &[]);
         *wrong.pointer_mut(place).unwrap() = value;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -66,6 +66,14 @@
     }
 }
 
+/// A part of a whole, 0 to 1.
+fn share(facts: &Facts, key: &str, absent: f64) -> Result<f64, String> {
+    match facts.number_or(key, absent)? {
+        share if share <= 1.0 => Ok(share),
+        _ => Err(format!("{key}: a share, 0 to 1")),
+    }
+}
+
 fn lane(facts: &Facts, n: usize) -> Result<LaneTerms, String> {
     let key = |name: &str| format!("classes.{n}.{name}");
     let effect = match facts.word(&key("effect"))? {
@@ -84,7 +92,7 @@
         goal: facts.time(&key("on-time-us"))?,
         abandon: facts.time(&key("deadline-us"))?,
         importance: facts.number_or(&key("points"), 1.0)?,
-        late_worth: facts.number_or(&key("late-share"), 1.0)?.min(1.0),
+        late_worth: share(facts, &key("late-share"), 1.0)?,
         effect,
         group,
         memory: facts.number_or(&key("memory-span-us"), 0.0)? / 1e6,
