Small bursts are not split into two tiers; alone, an even part of the ceiling's whole rate

Lines at fault: ceiling, tiers. Change: the burst tier is cut off only where it holds four of the largest inquiries; alone a gateway fills its even part of the ceiling's whole rate, since what it let on goes into the totals with its next add.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,6 +51,8 @@
 /// that they fit any plan. Small ones, since what the base tier lacks is missed by customers near their rate.
 const BURST_OF_RATE: f64 = 0.1;
 const BURST_OF_BURST: f64 = 0.25;
+/// Least burst tier, in the largest inquiries: what holds no whole one is lost in each window of each tier.
+const LEAST_PART: f64 = 4.0;
 /// Active period of the burst tier over its window: short, so that what it shadows comes back soon.
 const ACTIVE_OF_WINDOW: f64 = 0.25;
 
@@ -68,7 +70,7 @@
     let lasting = |window, limit| Tier { window, limit, active: f64::INFINITY, cooldown: 0.0 };
     let mut tiers = vec![lasting(whole, burst.min(rate * whole))];
     let base = (1.0 - BURST_OF_BURST) * burst;
-    if limit >= most_units && cycle <= 2.0 * MAX_WINDOW && base >= most_units {
+    if limit >= LEAST_PART * most_units && cycle <= 2.0 * MAX_WINDOW && base >= most_units {
         let window = (base / ((1.0 - BURST_OF_RATE) * rate)).clamp(MIN_WINDOW, MAX_WINDOW);
         tiers = vec![lasting(window, base), Tier { window: wide, limit, active, cooldown: cycle - active }];
     }
@@ -79,8 +81,8 @@
 }
 
 /// Whether the counter's totals keep a plan's ceiling; rate and burst that gateways share evenly. What totals
-/// let on, over all gateways, stays below the quota, and so below a ceiling above it: only what
-/// is let on without them needs a part of what is left. All of it where nothing is counted.
+/// let on, over all gateways, stays below the quota, and so below a ceiling above it. What is let on alone is
+/// told to the totals: it has an even part of the whole rate, and of the burst that is left above the quota.
 fn ceiling(plan: &PlanTerms, may_count: bool) -> (bool, f64, f64) {
     // A tier beyond the quota grants as much again.
     let granted = if plan.over_earns > plan.over_costs { 2.0 } else { 1.0 };
@@ -88,7 +90,7 @@
     let left = (rate - granted * plan.rate, burst - granted * plan.burst);
     match may_count && plan.rate > 0.0 && left.0 > 0.0 && left.1 > 0.0 {
         _ if rate <= 0.0 => (true, f64::INFINITY, f64::INFINITY),
-        true => (true, left.0, left.1),
+        true => (true, rate, left.1),
         false => (false, rate, burst),
     }
 }
