--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -65,7 +65,7 @@
 fn a_burst_of_a_few_inquiries_is_not_split() {
     let plan = PlanTerms { rate: 1.5, burst: 8.0, ..quota().plans[0].clone() };
     assert_eq!(tiers(&plan, 1.0).iter().map(|t| t.limit).collect::<Vec<_>>(), [8.0]);
-    assert_eq!(tiers(&PlanTerms { burst: 80.0, ..plan }, 1.0).len(), 2);
+    assert_eq!(tiers(&PlanTerms { rate: 8.0, burst: 37.0, ..plan }, 1.0).len(), 2);
 }
 
 #[test]
