One check each for talking gateways, caps and refusals in place of twins

Read over, no behaviour changed: migrate asked limits.peers itself where the settings' may_tell says it; the settings compared a cap as text where their own number check reads it (a null or negative one is now named as no number, as before the move); two socket tests had the same refusal written out; Host::rests beside InLane::rests meant another thing and is rests_wholly now. Tests and their assertions as they were.

--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -654,15 +654,21 @@
     (3..20).for_each(|id| assert_eq!(gateway.ask(&look(id)).0, 200));
 }
 
-#[test]
-fn quotas_push_back_at_once_with_advice() {
-    let hosts = [Host::start(How::Well)];
-    let gateway = gateway("quota", Count::Well, &hosts);
+/// Uses the plan `tiny` up; the headers of the 429 that follows.
+fn beyond_tiny(gateway: &Gateway) -> HashMap<String, String> {
     (0..2).for_each(|id| assert_eq!(gateway.ask(&inquiry("GET", "look", "tiny", id, 2.5, b"")).0, 200));
     let mut stream = TcpStream::connect(gateway.address).unwrap();
     stream.write_all(&inquiry("GET", "look", "tiny", 2, 2.5, b"")).unwrap();
     let (first, headers, _) = message(&mut BufReader::new(stream)).unwrap();
     assert!(first.contains(" 429 "), "{first}");
+    headers
+}
+
+#[test]
+fn quotas_push_back_at_once_with_advice() {
+    let hosts = [Host::start(How::Well)];
+    let gateway = gateway("quota", Count::Well, &hosts);
+    let headers = beyond_tiny(&gateway);
     assert!(headers["retry-after"].parse::<f64>().unwrap() <= 0.5);
     assert_eq!(hosts[0].got(), 2);
 }
@@ -686,11 +692,8 @@
     let mut told = configuration(counter(Count::Well).0, list.start(), &hosts);
     told["settings"]["limits"]["retry-after"] = json!(false);
     let gateway = start("no-advice", &told, list);
-    (0..2).for_each(|id| assert_eq!(gateway.ask(&inquiry("GET", "look", "tiny", id, 2.5, b"")).0, 200));
-    let mut stream = TcpStream::connect(gateway.address).unwrap();
-    stream.write_all(&inquiry("GET", "look", "tiny", 2, 2.5, b"")).unwrap();
-    let (first, headers, _) = message(&mut BufReader::new(stream)).unwrap();
-    assert!(first.contains(" 429 ") && !headers.contains_key("retry-after"), "{first} {headers:?}");
+    let headers = beyond_tiny(&gateway);
+    assert!(!headers.contains_key("retry-after"), "{headers:?}");
     let (guessed, settled) = (granted(false), granted(true));
     assert!(settled * 2 < guessed, "{guessed} of one unit each, {settled} that count four");
 }
--- a/migrate/src/lib.rs
+++ b/migrate/src/lib.rs
@@ -2,7 +2,7 @@
 //! what is not, and why; free of files. Must never start from a value that neither the old file nor the shape gives.
 #![forbid(unsafe_code)]
 
-use serde_json::{Map, Value, json};
+use serde_json::{Map, Value};
 
 /// The counterpart, and what it could not carry over: a key and the reason.
 #[derive(Debug)]
@@ -37,7 +37,8 @@
             leave(&format!("settings.contracts.{n}.max-out"), why);
         }
     }
-    let may_tell = settings.get("limits").and_then(|l| l.get("peers")) == Some(&json!(true));
+    let told = archlink_settings::from_json(&Value::Object(settings.clone()))
+        .map_err(|e| format!("settings.{e}"))?;
     let mut file = Map::new();
     for (key, value) in old {
         match key.as_str() {
@@ -45,7 +46,7 @@
             "known" => {
                 leave(key, "it names hosts of the old deployment; the first list is asked for instead")
             }
-            key if PEERS.contains(&key) && !may_tell => {
+            key if PEERS.contains(&key) && !told.terms.may_tell => {
                 if value.as_array().is_none_or(|peers| !peers.is_empty()) {
                     leave(key, "gateways of the new shape may not talk to each other");
                 }
@@ -54,8 +55,6 @@
             key => leave(key, "no gateway reads this key"),
         }
     }
-    let told = archlink_settings::from_json(&Value::Object(settings.clone()))
-        .map_err(|e| format!("settings.{e}"))?;
     if told.terms.my_number >= told.terms.gateways {
         let (number, all) = (told.terms.my_number, told.terms.gateways);
         return Err(format!("settings.self-index: {number} is none of the {all} gateways of the new shape"));
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -123,14 +123,14 @@
 pub fn from_json(settings: &Value) -> Result<Told, String> {
     let mut flat = BTreeMap::new();
     flatten(settings, String::new(), &mut flat);
-    let capped =
-        flat.iter().find(|(key, value)| key.ends_with(".max-out") && *value != "0" && *value != "0.0");
-    if let Some((key, _)) = capped {
-        return Err(format!(
-            "{key}: a cap on hand-offs open at once is not kept; give the plan a rate, or 0 here"
-        ));
+    let facts = Facts(flat);
+    for key in (0..facts.count("contracts.count")?).map(|n| format!("contracts.{n}.max-out")) {
+        if facts.number_or(&key, 0.0)? > 0.0 {
+            let why = "a cap on hand-offs open at once is not kept; give the plan a rate, or 0 here";
+            return Err(format!("{key}: {why}"));
+        }
     }
-    read(Facts(flat))
+    read(facts)
 }
 
 fn flatten(value: &Value, path: String, flat: &mut BTreeMap<String, String>) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -381,7 +381,7 @@
         let gateways = f64::from(self.terms.gateways.max(1));
         let mut ready: Vec<_> =
             self.hosts.iter().filter(|(_, h)| h.line.standing == Standing::Ready).collect();
-        ready.sort_by_key(|(id, h)| (h.rests(self.now), h.place, **id));
+        ready.sort_by_key(|(id, h)| (h.rests_wholly(self.now), h.place, **id));
         let all = ready.len() as f64;
         let most = (GATEWAYS_A_HOST * all / gateways).ceil().max(LEAST_NEAR).min(all.max(1.0));
         self.sharing = (gateways * most / all.max(1.0)).max(1.0);
@@ -912,7 +912,7 @@
 
     pub fn probed(&mut self, now: f64, out: &mut dyn Outward, id: HostId, well: bool, _load: Load) {
         self.now = now;
-        if let Some(host) = self.hosts.get_mut(&id).filter(|h| h.rests(now)) {
+        if let Some(host) = self.hosts.get_mut(&id).filter(|h| h.rests_wholly(now)) {
             host.lanes.iter_mut().for_each(|l| l.rest_until = now);
             if !well {
                 self.rest(out, id, None);
@@ -1092,7 +1092,7 @@
     }
 
     /// Rests in every lane: it is not reached, or silent altogether.
-    fn rests(&self, now: f64) -> bool {
+    fn rests_wholly(&self, now: f64) -> bool {
         self.lanes.iter().all(|l| l.rest_until > now)
     }
 
