migrate refuses a plan that its cap alone limited, in place of leaving it without any limit

Read over: a plan with max-out and no rate (rate 0 means no limit) lost its cap and was written with none, while the list said that it had its rate. Now an error names settings.contracts.N.rate; the new case fails without it.

--- a/migrate/src/lib.rs
+++ b/migrate/src/lib.rs
@@ -33,6 +33,14 @@
         let capped = plan.get("max-out").and_then(Value::as_f64).is_some_and(|most| most > 0.0);
         if let (true, Some(plan)) = (capped, plan.as_object_mut()) {
             plan.remove("max-out");
+            // Without its cap such a plan would let everything on, which nobody asked for.
+            let limited = ["rate", "never-over-rate"].map(|key| plan.get(key).and_then(Value::as_f64));
+            if limited.iter().flatten().all(|rate| *rate <= 0.0) {
+                let at = format!("settings.contracts.{n}.rate");
+                return Err(format!(
+                    "{at}: missing; the cap was the plan's only limit: state a rate in the shape"
+                ));
+            }
             let why = "no cap on hand-offs open at once is kept any more: the plan has its rate alone";
             leave(&format!("settings.contracts.{n}.max-out"), why);
         }
--- a/migrate/tests/command.rs
+++ b/migrate/tests/command.rs
@@ -77,6 +77,11 @@
         ("settings.classes.0.late-share: ", old(), json!({"classes": [{"name": "look", "late-share": 2}]})),
         ("settings.classes.0.name: ", old(), json!({"classes": [{"effect": "pure"}]})),
         ("settings.limits: ", old(), json!({"limits": 3})),
+        (
+            "settings.contracts.1.rate: ",
+            old(),
+            json!({"contracts": [{"name": "team"}, {"name": "firm", "rate": 0}]}),
+        ),
     ];
     for (n, (key, old, shape)) in cases.iter().enumerate() {
         let (old, shape) = (file(&format!("{n}-old"), old), file(&format!("{n}-shape"), shape));
