--- /dev/null
+++ b/berth/src/choice.rs
@@ -0,0 +1,348 @@
+//! Which host gets the next request. Each host has what this gateway has out there, what others have as far as its own
+//! figures tell, and how long its work takes; the request goes where it is expected to be done first, the own zone before
+//! the region and the region before the rest by what the way costs. Must never choose a host that leaves, whose zone is
+//! evacuated or that lies outside a request's homes, nor give a cold one more than this gateway's part.
+
+use signal::HostLine;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddrV4;
+
+/// Expected until a service's hosts have answered.
+const FIRST_WORK: f64 = 0.06;
+/// How far one answer moves what is known of a host's work and of the others' requests there: a few tens of answers show
+/// a host's speed beside work that varies by itself, a few show who else is there.
+const WORK_STEP: f64 = 0.06;
+const OTHERS_STEP: f64 = 0.3;
+/// What others have out is believed for about this long without news.
+const OTHERS_LAST: f64 = 0.5;
+/// Ways in parts of the goal time: bytes between zones are dear, and between regions far dearer.
+const TO_ZONE: f64 = 0.04;
+const TO_REGION: f64 = 0.3;
+/// Where a route has no goal time.
+const GOAL: f64 = 0.5;
+/// Hosts of about the same worth are drawn by chance this far apart, or all gateways would fall on one.
+const SPREAD: f64 = 0.25;
+/// Part of a request's time that its work may be expected to end in; beyond, refusing it now is kinder.
+const IN_TIME: f64 = 0.9;
+/// First rest of a host that is not reached, doubled up to the longest.
+const FIRST_REST: f64 = 0.3;
+const MOST_DOUBLINGS: u32 = 4;
+/// A host is doubted once it has answered nothing for so long, in its usual work and at least in seconds.
+const DOUBT_WORK: f64 = 5.0;
+const DOUBT_LEAST: f64 = 0.4;
+/// Requests this gateway keeps out at a host, beyond its slots: more only wait there, and elsewhere they need not.
+const MOST_HOSTS: usize = 8192;
+
+/// The rule for hosts that are cold: requests in any one second, over all gateways.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdRule {
+    pub overrun: f64,
+    pub slack: f64,
+}
+
+/// What a service's configuration says of its hosts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServiceTerms {
+    /// Requests a second that a cold host bears; 0: no bound.
+    pub cold_rate: f64,
+    /// How long a host may stay cold.
+    pub cold_period: f64,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    pub service: &'a str,
+    /// Regions it may be sent to; empty: all.
+    pub homes: &'a [String],
+    pub goal: f64,
+    /// Seconds left.
+    pub left: f64,
+    /// Hosts that it was sent to before.
+    pub tried: &'a [u64],
+}
+
+/// A host chosen: `key` names this life of it here.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chosen {
+    pub key: u64,
+    pub id: String,
+    pub address: SocketAddrV4,
+    /// How long the answer is expected to take.
+    pub expected: f64,
+}
+
+/// How a request that went to a host ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// Whole; with running, waiting and slots where the host told.
+    Answered(Option<(f64, f64, f64)>),
+    /// It says that it did not run it.
+    Full(Option<(f64, f64, f64)>),
+    /// Another host has the address.
+    Elsewhere,
+    /// No connection came up, or not all was written.
+    Unreached,
+    /// Reset, cut short or spoilt.
+    Broken,
+    /// No answer in its time.
+    Silent,
+}
+
+struct Host {
+    line: HostLine,
+    region: String,
+    out: f64,
+    others: f64,
+    others_at: f64,
+    work: f64,
+    slots: f64,
+    rests: u32,
+    rest_until: f64,
+    /// First request since it last answered.
+    asked: Option<f64>,
+    cold_until: f64,
+    cold_sent: VecDeque<f64>,
+    /// Not in the last list: kept while requests are out.
+    gone: bool,
+    /// Turned requests away that were meant for it: gone before the list says so.
+    moved: bool,
+}
+
+pub struct Berth {
+    zone: String,
+    region: String,
+    zones: HashMap<String, String>,
+    cold: ColdRule,
+    hosts: BTreeMap<u64, Host>,
+    by_id: HashMap<String, u64>,
+    by_service: HashMap<String, Vec<u64>>,
+    services: HashMap<String, ServiceTerms>,
+    evacuated: BTreeSet<String>,
+    gateways: u32,
+    chance: oorandom::Rand64,
+    next: u64,
+}
+
+impl Berth {
+    pub fn new(
+        zone: String,
+        region: String,
+        zones: HashMap<String, String>,
+        cold: ColdRule,
+        seed: u64,
+    ) -> Berth {
+        Berth {
+            zone,
+            region,
+            zones,
+            cold,
+            hosts: BTreeMap::new(),
+            by_id: HashMap::new(),
+            by_service: HashMap::new(),
+            services: HashMap::new(),
+            evacuated: BTreeSet::new(),
+            gateways: 0,
+            chance: oorandom::Rand64::new(u128::from(seed)),
+            next: 1,
+        }
+    }
+
+    /// Data gateways that may be at work.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways;
+    }
+
+    pub fn set_services(&mut self, services: HashMap<String, ServiceTerms>) {
+        self.services = services;
+    }
+
+    /// The zones to keep out of. One that is taken back may hold hosts that turned cold shortly before: its hosts are
+    /// taken for cold until the longest cold time is over.
+    pub fn set_evacuated(&mut self, now: f64, zones: BTreeSet<String>) {
+        // The list's own lag, and that of this news.
+        const LAG: f64 = 1.5;
+        for zone in self.evacuated.difference(&zones) {
+            for host in self.hosts.values_mut().filter(|h| h.line.zone == *zone) {
+                let terms = self.services.get(&host.line.service).copied().unwrap_or_default();
+                host.cold_until = host.cold_until.max(now + terms.cold_period + LAG);
+            }
+        }
+        self.evacuated = zones;
+    }
+
+    /// The whole list, newest; what it leaves out is gone. Gives back the keys of hosts to which nothing more will go.
+    pub fn list(&mut self, now: f64, lines: &[HostLine]) -> Vec<u64> {
+        let mut named = BTreeSet::new();
+        for line in lines.iter().take(MOST_HOSTS) {
+            let cold_until = now + f64::from(line.cold_for);
+            let fresh = self.next;
+            let key = *self.by_id.entry(line.id.clone()).or_insert(fresh);
+            named.insert(key);
+            if let Some(host) = self.hosts.get_mut(&key) {
+                host.cold_until =
+                    if line.cold_for > 0.0 { host.cold_until.max(cold_until) } else { host.cold_until };
+                host.gone = false;
+                host.line = line.clone();
+                continue;
+            }
+            self.next += 1;
+            let region = self.zones.get(&line.zone).cloned().unwrap_or_default();
+            let host = Host {
+                region,
+                out: 0.0,
+                others: 0.0,
+                others_at: now,
+                work: 0.0,
+                slots: f64::from(line.capacity.max(1)),
+                rests: 0,
+                rest_until: 0.0,
+                asked: None,
+                cold_until,
+                cold_sent: VecDeque::new(),
+                gone: false,
+                moved: false,
+                line: line.clone(),
+            };
+            self.hosts.insert(key, host);
+        }
+        for (key, host) in &mut self.hosts {
+            host.gone = !named.contains(key);
+        }
+        let left: Vec<u64> =
+            self.hosts.iter().filter(|(_, h)| h.gone || h.line.draining).map(|(k, _)| *k).collect();
+        self.hosts.retain(|_, host| !host.gone || host.out > 0.0);
+        self.by_id.retain(|_, key| self.hosts.contains_key(key));
+        self.by_service.clear();
+        for (key, host) in &self.hosts {
+            self.by_service.entry(host.line.service.clone()).or_default().push(*key);
+        }
+        left
+    }
+
+    /// Hosts known, and of these ready ones.
+    pub fn count(&self) -> (usize, usize) {
+        (self.hosts.len(), self.hosts.values().filter(|h| !h.gone && !h.line.draining).count())
+    }
+
+    /// What a host's work usually takes: its own figure, or that of its service.
+    fn usual(&self, service: &str) -> f64 {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let known = keys.iter().filter_map(|k| self.hosts.get(k)).map(|h| h.work).filter(|w| *w > 0.0);
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), work| (sum + work, count + 1.0));
+        if count > 0.0 { sum / count } else { FIRST_WORK }
+    }
+
+    /// Requests that a cold host may get from this gateway in any one second.
+    fn cold_part(&self, service: &str) -> Option<usize> {
+        let terms = self.services.get(service).copied().unwrap_or_default();
+        let all = terms.cold_rate * self.cold.overrun + self.cold.slack - 1.0;
+        (terms.cold_rate > 0.0).then(|| (all / f64::from(self.gateways.max(1))).floor().max(0.0) as usize)
+    }
+
+    fn fits(&self, host: &Host, need: &Need, now: f64, cold_part: Option<usize>) -> bool {
+        let homes = need.homes.is_empty() || need.homes.contains(&host.region);
+        let stays =
+            !host.gone && !host.moved && !host.line.draining && !self.evacuated.contains(&host.line.zone);
+        let rests = now < host.rest_until || (host.rests > 0 && host.out > 0.0);
+        let cold = now < host.cold_until
+            && cold_part
+                .is_some_and(|part| host.cold_sent.iter().filter(|at| **at + 1.05 > now).count() >= part);
+        homes && stays && !rests && !cold
+    }
+
+    /// Seconds until an answer is expected, and that with what the way costs.
+    fn weigh(&self, host: &Host, need: &Need, usual: f64, now: f64) -> (f64, f64) {
+        let work = if host.work > 0.0 { host.work } else { usual };
+        let others = host.others * (-(now - host.others_at) / OTHERS_LAST).exp();
+        let ahead = (host.out + others + 1.0 - host.slots).max(0.0);
+        let cold = if now < host.cold_until { 2.0 } else { 1.0 };
+        let expected = work * cold * (1.0 + ahead / host.slots);
+        let goal = if need.goal.is_finite() { need.goal } else { GOAL };
+        let way = match (host.line.zone == self.zone, host.region == self.region) {
+            (true, _) => 0.0,
+            (_, true) => TO_ZONE * goal,
+            _ => TO_REGION * goal,
+        };
+        let silent = host.asked.is_some_and(|at| now - at > (work * DOUBT_WORK).max(DOUBT_LEAST));
+        let doubt = if silent { goal } else { 0.0 };
+        (expected, expected + way + doubt)
+    }
+
+    /// The host where a request is expected to be done first; none where none is expected to do it in time.
+    pub fn choose(&mut self, now: f64, need: &Need) -> Option<Chosen> {
+        let keys = self.by_service.get(need.service)?.clone();
+        let (usual, cold_part) = (self.usual(need.service), self.cold_part(need.service));
+        let mut best: Option<(f64, u64, f64)> = None;
+        for key in keys {
+            let Some(host) = self.hosts.get(&key) else { continue };
+            if need.tried.contains(&key) || !self.fits(host, need, now, cold_part) {
+                continue;
+            }
+            let (expected, weight) = self.weigh(host, need, usual, now);
+            if expected > need.left * IN_TIME {
+                continue;
+            }
+            let drawn = weight * (1.0 + SPREAD * self.chance.rand_float());
+            if best.is_none_or(|(least, _, _)| drawn < least) {
+                best = Some((drawn, key, expected));
+            }
+        }
+        let (_, key, expected) = best?;
+        let host = self.hosts.get(&key)?;
+        Some(Chosen { key, id: host.line.id.clone(), address: host.line.address, expected })
+    }
+
+    /// A request goes to a host now.
+    pub fn sent(&mut self, now: f64, key: u64) {
+        let Some(host) = self.hosts.get_mut(&key) else { return };
+        host.out += 1.0;
+        host.asked.get_or_insert(now);
+        if now < host.cold_until {
+            host.cold_sent.retain(|at| *at + 2.0 > now);
+            host.cold_sent.push_back(now);
+        }
+    }
+
+    /// May a request that was chosen for a host still go there? What stood still for a while looks again.
+    pub fn still(&self, key: u64) -> bool {
+        let stays =
+            |h: &Host| !h.gone && !h.moved && !h.line.draining && !self.evacuated.contains(&h.line.zone);
+        self.hosts.get(&key).is_some_and(stays)
+    }
+
+    /// A request to a host ended, `took` seconds after it was sent.
+    pub fn ended(&mut self, now: f64, key: u64, took: f64, end: End) {
+        let Some(host) = self.hosts.get_mut(&key) else { return };
+        let before = host.out;
+        host.out = (host.out - 1.0).max(0.0);
+        if let End::Answered(_) | End::Full(_) = end {
+            host.asked = if host.out > 0.0 { Some(now) } else { None };
+            host.rests = 0;
+        }
+        if let End::Answered(Some((running, waiting, slots))) | End::Full(Some((running, waiting, slots))) =
+            end
+        {
+            host.slots = if slots >= 1.0 { slots } else { host.slots };
+            // What it told was true before this one ended: this gateway's part is taken off.
+            let others = (running + waiting - before).max(0.0);
+            host.others += OTHERS_STEP * (others - host.others);
+            host.others_at = now;
+        }
+        match end {
+            End::Answered(_) => {
+                let alone = took / ((before + host.others) / host.slots).max(1.0);
+                host.work = if host.work > 0.0 { host.work + WORK_STEP * (alone - host.work) } else { alone };
+            }
+            End::Full(_) => host.others = host.others.max(host.slots * 2.0),
+            End::Elsewhere => host.moved = true,
+            End::Unreached | End::Silent => {
+                host.rests += 1;
+                let rest = FIRST_REST * f64::from(1 << (host.rests - 1).min(MOST_DOUBLINGS));
+                host.rest_until = host.rest_until.max(now + rest);
+                host.asked = None;
+            }
+            End::Broken => host.asked = None,
+        }
+    }
+}
--- /dev/null
+++ b/berth/tests/choice.rs
@@ -0,0 +1,101 @@
+//! What hosts must and must not get, in made-up time.
+
+use berth::budget::{Budget, Rule};
+use berth::choice::{Berth, ColdRule, End, Need, ServiceTerms};
+use signal::HostLine;
+use std::collections::{BTreeSet, HashMap};
+
+fn line(id: &str, zone: &str, cold_for: f32) -> HostLine {
+    let address = "10.0.0.1:80".parse().unwrap();
+    let (service, capacity) = ("s".into(), 2);
+    HostLine { id: id.into(), service, address, zone: zone.into(), capacity, draining: false, cold_for }
+}
+
+fn berth() -> Berth {
+    let zones = [("a", "x"), ("b", "x"), ("c", "y")].map(|(z, r)| (z.to_string(), r.to_string()));
+    let cold = ColdRule { overrun: 1.5, slack: 5.0 };
+    let mut berth = Berth::new("a".into(), "x".into(), HashMap::from(zones), cold, 7);
+    berth.set_gateways(9);
+    berth.set_services([("s".into(), ServiceTerms { cold_rate: 10.0, cold_period: 3.0 })].into());
+    berth
+}
+
+fn need() -> Need<'static> {
+    Need { service: "s", homes: &[], goal: 0.3, left: 2.0, tried: &[] }
+}
+
+fn chosen(berth: &mut Berth, now: f64, need: &Need) -> Option<String> {
+    berth.choose(now, need).map(|c| c.id)
+}
+
+#[test]
+fn a_drained_gone_moved_or_evacuated_host_gets_nothing_new() {
+    let mut berth = berth();
+    berth.list(0.0, &[line("one", "a", 0.0), line("two", "b", 0.0)]);
+    assert_eq!(chosen(&mut berth, 0.0, &need()).as_deref(), Some("one"));
+    let drained = HostLine { draining: true, ..line("one", "a", 0.0) };
+    assert_eq!(berth.list(0.1, &[drained, line("two", "b", 0.0)]).len(), 1);
+    assert_eq!(chosen(&mut berth, 0.1, &need()).as_deref(), Some("two"));
+    berth.set_evacuated(0.2, BTreeSet::from(["b".to_string()]));
+    assert_eq!(chosen(&mut berth, 0.2, &need()), None);
+    // Taken back, its hosts may be cold: two a second from here, as nine gateways share.
+    berth.set_evacuated(0.3, BTreeSet::new());
+    for _ in 0..2 {
+        let to = berth.choose(0.3, &need()).unwrap();
+        berth.sent(0.3, to.key);
+        berth.ended(0.3, to.key, 0.01, End::Answered(None));
+    }
+    assert_eq!(chosen(&mut berth, 1.2, &need()), None);
+    let to = berth.choose(1.4, &need()).unwrap();
+    berth.sent(1.4, to.key);
+    berth.ended(1.4, to.key, 0.01, End::Elsewhere);
+    assert!(!berth.still(to.key) && chosen(&mut berth, 9.0, &need()).is_none());
+}
+
+#[test]
+fn homes_bind_and_the_own_zone_comes_first_until_it_is_full() {
+    let mut berth = berth();
+    berth.list(0.0, &[line("near", "a", 0.0), line("next", "b", 0.0), line("far", "c", 0.0)]);
+    let homes = ["y".to_string()];
+    assert_eq!(chosen(&mut berth, 0.0, &Need { homes: &homes, ..need() }).as_deref(), Some("far"));
+    let mut order = Vec::new();
+    for _ in 0..40 {
+        let to = berth.choose(0.0, &need()).unwrap();
+        berth.sent(0.0, to.key);
+        order.push(to.id);
+    }
+    assert!(order[..2].iter().all(|id| id == "near"), "{order:?}");
+    assert!(order.iter().position(|id| id == "next") < order.iter().position(|id| id == "far"), "{order:?}");
+}
+
+#[test]
+fn a_host_that_is_not_reached_rests_and_is_tried_by_one_request() {
+    let mut berth = berth();
+    berth.list(0.0, &[line("one", "a", 0.0)]);
+    let to = berth.choose(0.0, &need()).unwrap();
+    berth.sent(0.0, to.key);
+    berth.ended(0.0, to.key, 0.0, End::Unreached);
+    assert_eq!(chosen(&mut berth, 0.1, &need()), None);
+    let again = berth.choose(0.5, &need()).unwrap();
+    berth.sent(0.5, again.key);
+    assert_eq!(chosen(&mut berth, 0.5, &need()), None);
+    berth.ended(0.6, again.key, 0.1, End::Answered(None));
+    assert!(chosen(&mut berth, 0.6, &need()).is_some());
+}
+
+/// Nine gateways that earn and spend all they can keep the rule in any window of requests.
+#[test]
+fn further_tries_of_all_gateways_stay_within_the_rule() {
+    let rule = Rule { ratio: 0.2, slack: 58.0 };
+    let mut budgets: Vec<Budget> = (0..9).map(|_| Budget::default()).collect();
+    let mut tries = 0;
+    for request in 0..20_000 {
+        let budget = &mut budgets[request % 9];
+        budget.earn(&rule, "s", 9);
+        // Nobody tries again for a long while, and then all do at once.
+        while request > 10_000 && budget.take("s") {
+            tries += 1;
+        }
+    }
+    assert!(f64::from(tries) <= 9999.0 * rule.ratio + rule.slack && tries > 1400, "{tries}");
+}
--- /dev/null
+++ b/fairway/src/kept.rs
@@ -0,0 +1,115 @@
+//! Connections to hosts and their bound, kept between hand-offs by host and not by address: a new host at an old address
+//! is another one. Must never try twice, choose another host or wait longer than it was told.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+use tokio_util::codec::Framed;
+
+/// One place among the bounded sockets to hosts, given back when dropped.
+struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A connection to a host, spoken over with the codec `C`.
+pub struct Line<C> {
+    pub framed: Framed<TcpStream, C>,
+    to: SocketAddr,
+    since: Instant,
+    /// When the host may close it at the latest, where it said so.
+    until: Option<Instant>,
+    _place: Place,
+}
+
+impl<C> Line<C> {
+    /// Nothing was said and nothing ended since the last reply; asks the socket itself.
+    fn quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let socket = socket2::SockRef::from(self.framed.get_ref());
+        let peeked = socket.peek(&mut byte);
+        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) && self.framed.read_buffer().is_empty()
+    }
+}
+
+pub struct Kept<C> {
+    lines: RefCell<HashMap<u64, Vec<Line<C>>>>,
+    used: Rc<Cell<usize>>,
+    most: usize,
+    idle: Duration,
+    connect: Duration,
+    codec: Box<dyn Fn() -> C>,
+}
+
+impl<C> Kept<C> {
+    /// Given up at this part of the time after which hosts close: far more than a message is under way.
+    const SAFE: f64 = 0.8;
+
+    /// `idle`: the time after which hosts close a connection at the latest; `codec` makes a new connection's.
+    pub fn new(most: usize, idle: f64, connect: f64, codec: impl Fn() -> C + 'static) -> Rc<Kept<C>> {
+        let seconds = |s: f64| Duration::from_secs_f64(s.clamp(0.0, 3600.0));
+        let (idle, connect) = (seconds(idle * Self::SAFE), seconds(connect));
+        let (lines, used, codec) = (RefCell::default(), Rc::default(), Box::new(codec));
+        Rc::new(Kept { lines, used, most, idle, connect, codec })
+    }
+
+    /// The longest wait for a new connection.
+    pub fn connect(&self) -> Duration {
+        self.connect
+    }
+
+    fn fresh(&self, line: &Line<C>) -> bool {
+        line.since.elapsed() < self.idle && line.until.is_none_or(|until| Instant::now() < until)
+    }
+
+    /// Closes what stood idle for long; called now and then.
+    pub fn sweep(&self) {
+        let mut lines = self.lines.borrow_mut();
+        lines.values_mut().for_each(|kept| kept.retain(|line| self.fresh(line)));
+        lines.retain(|_, kept| !kept.is_empty());
+    }
+
+    pub fn take(&self, host: u64, address: SocketAddr) -> Option<Line<C>> {
+        let mut lines = self.lines.borrow_mut();
+        let kept = lines.get_mut(&host)?;
+        // The one used last comes first, so that spare ones grow old and close.
+        let fit = |line: &Line<C>| line.to == address && self.fresh(line) && line.quiet();
+        std::iter::from_fn(|| kept.pop()).find(fit)
+    }
+
+    /// A host that is gone, has moved, or is silent: nothing kept to it is of use.
+    pub fn forget(&self, host: u64) {
+        self.lines.borrow_mut().remove(&host);
+    }
+
+    /// Keeps a connection for the next hand-off; `idle` is how long the host said that it keeps it.
+    pub fn keep(&self, host: u64, line: Line<C>, idle: Option<f64>) {
+        let now = Instant::now();
+        let until = idle.map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0) * Self::SAFE));
+        self.lines.borrow_mut().entry(host).or_default().push(Line { since: now, until, ..line });
+    }
+
+    pub async fn open(&self, address: SocketAddr) -> io::Result<Line<C>> {
+        if self.used.get() >= self.most {
+            self.lines.borrow_mut().clear();
+        }
+        if self.used.get() >= self.most {
+            return Err(io::Error::other("all sockets to hosts are in use"));
+        }
+        self.used.set(self.used.get() + 1);
+        let _place = Place(self.used.clone());
+        let stream = timeout(self.connect, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let framed = Framed::new(stream, (self.codec)());
+        Ok(Line { framed, to: address, since: Instant::now(), until: None, _place })
+    }
+}
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -2,12 +2,12 @@
 //! and the numbers that stand for hosts' ids; a watch that breaks or falls silent is opened again from the last
 //! version heard, and so is one whose address has moved. Must never leave out, reorder or interpret what the list says: the module hears it line by line.
 
-use crate::http::Chunks;
 use crate::route::{Clock, Hall};
 use archlink::again::Again;
 use archlink::interface::{HostId, HostLine, News, Standing};
 use archlink_settings::Told;
 use bytes::{Buf, BytesMut};
+use fairway::frame::Chunks;
 use futures_util::StreamExt;
 use httparse::{EMPTY_HEADER, Status};
 use serde_json::Value;
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -6,7 +6,9 @@
 use archlink::interface::{Effect, Inquiry, Load};
 use archlink_settings::Told;
 use bytes::{Buf, Bytes, BytesMut};
-use httparse::{EMPTY_HEADER, Header, Status};
+pub use fairway::frame::Held;
+use fairway::frame::{Body, Chunks, Length, broken, header, lines};
+use httparse::{EMPTY_HEADER, Status};
 use std::cell::Cell;
 use std::fmt::Write;
 use std::io;
@@ -47,27 +49,6 @@
     pub close: bool,
 }
 
-/// A part of the bytes set aside for large replies, from the first read until the client has the last; given back
-/// when dropped.
-#[derive(Debug)]
-pub struct Held {
-    room: Rc<Cell<usize>>,
-    bytes: usize,
-}
-
-impl Held {
-    fn take(room: &Rc<Cell<usize>>, bytes: usize) -> Option<Held> {
-        room.set(room.get().checked_sub(bytes)?);
-        Some(Held { room: room.clone(), bytes })
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.room.set(self.room.get() + self.bytes);
-    }
-}
-
 #[derive(Debug)]
 pub enum Answer {
     Honoured { passed: Vec<u8>, body: Bytes, held: Option<Held> },
@@ -97,141 +78,8 @@
     pub keep: bool,
 }
 
-fn broken(text: &str) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, text)
-}
-
-#[derive(Debug, Default)]
-enum Part {
-    #[default]
-    Size,
-    Data(u64),
-    End,
-    Trailer,
-}
-
-/// Chunked coding, taken off as bytes arrive.
-#[derive(Debug, Default)]
-pub struct Chunks(Part);
-
-impl Chunks {
-    /// Moves what is there from `from` to `to`; true once the last chunk is through.
-    pub fn feed(&mut self, from: &mut BytesMut, to: &mut BytesMut) -> io::Result<bool> {
-        const MOST_LINE: usize = 1024;
-        loop {
-            match self.0 {
-                Part::Size => match httparse::parse_chunk_size(from) {
-                    Ok(Status::Complete((length, size))) => {
-                        from.advance(length);
-                        self.0 = if size == 0 { Part::Trailer } else { Part::Data(size) };
-                    }
-                    Ok(Status::Partial) if from.len() < MOST_LINE => return Ok(false),
-                    _ => return Err(broken("chunk size")),
-                },
-                Part::Data(0) => self.0 = Part::End,
-                Part::Data(left) => {
-                    if from.is_empty() {
-                        return Ok(false);
-                    }
-                    let taken = from.len().min(usize::try_from(left).unwrap_or(usize::MAX));
-                    to.extend_from_slice(&from.split_to(taken));
-                    self.0 = Part::Data(left - taken as u64);
-                }
-                Part::End if from.len() < 2 => return Ok(false),
-                Part::End if !from.starts_with(b"\r\n") => return Err(broken("chunk end")),
-                Part::End => {
-                    from.advance(2);
-                    self.0 = Part::Size;
-                }
-                Part::Trailer => match from.iter().position(|&b| b == b'\n') {
-                    Some(at) => {
-                        let last = from[..at].trim_ascii().is_empty();
-                        from.advance(at + 1);
-                        if last {
-                            return Ok(true);
-                        }
-                    }
-                    None if from.len() < MOST_LINE => return Ok(false),
-                    None => return Err(broken("trailer")),
-                },
-            }
-        }
-    }
-}
-
-/// How long a body is, and what of it has come.
-#[derive(Debug)]
-enum Length {
-    Sized(usize),
-    Chunked(Chunks, BytesMut),
-    ToEnd,
-}
-
-enum Body {
-    Whole(Bytes),
-    Partial,
-    TooLarge,
-}
-
-impl Length {
-    /// Bytes of it as far as known.
-    fn known(&self, from: &BytesMut) -> usize {
-        match self {
-            Length::Sized(size) => *size,
-            Length::Chunked(_, body) => body.len() + from.len(),
-            Length::ToEnd => from.len(),
-        }
-    }
-
-    fn take(&mut self, from: &mut BytesMut, ended: bool, most: usize) -> io::Result<Body> {
-        match self {
-            Length::Sized(size) if *size > most => Ok(Body::TooLarge),
-            Length::Sized(size) if from.len() >= *size => Ok(Body::Whole(from.split_to(*size).freeze())),
-            Length::Sized(size) => {
-                from.reserve(*size - from.len());
-                Ok(Body::Partial)
-            }
-            Length::Chunked(chunks, body) => {
-                let whole = chunks.feed(from, body)?;
-                if body.len() > most {
-                    return Ok(Body::TooLarge);
-                }
-                Ok(if whole { Body::Whole(body.split().freeze()) } else { Body::Partial })
-            }
-            Length::ToEnd if from.len() > most => Ok(Body::TooLarge),
-            Length::ToEnd if ended => Ok(Body::Whole(from.split().freeze())),
-            Length::ToEnd => Ok(Body::Partial),
-        }
-    }
-}
-
-/// What the headers say about framing, and the lines that are passed on.
-struct Lines {
-    length: Option<usize>,
-    chunked: bool,
-    close: bool,
-    keep: bool,
-    passed: Vec<u8>,
-}
-
-/// Headers that belong to one connection, or to this gateway, and so are not passed on.
-const OWN: [&str; 15] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "host",
-    "expect",
-    REQ_DEADLINE,
-    SRV_LOAD,
-    SRV_UNITS,
-    SRV_DECLINED,
-];
+/// Headers of the protocol's own, which are not passed on.
+const OWN: [&str; 4] = [REQ_DEADLINE, SRV_LOAD, SRV_UNITS, SRV_DECLINED];
 const REQ_DEADLINE: &str = "req-deadline";
 /// True units beyond this are taken for damage and cut to it.
 const MOST_UNITS: f64 = 1e6;
@@ -239,47 +87,6 @@
 const SRV_UNITS: &str = "srv-units";
 const SRV_DECLINED: &str = "srv-declined";
 
-fn lines(headers: &[Header]) -> Option<Lines> {
-    // Room for the usual lines at once.
-    let passed = Vec::with_capacity(256);
-    let mut found = Lines { length: None, chunked: false, close: false, keep: false, passed };
-    for header in headers {
-        let is = |name: &str| header.name.eq_ignore_ascii_case(name);
-        if is("content-length") {
-            let text = std::str::from_utf8(header.value).ok()?;
-            let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
-            let length = if digits { text.parse().unwrap_or(usize::MAX) } else { return None };
-            if found.length.is_some_and(|before| before != length) {
-                return None;
-            }
-            found.length = Some(length);
-        } else if is("transfer-encoding") {
-            if found.chunked || !header.value.eq_ignore_ascii_case(b"chunked") {
-                return None;
-            }
-            found.chunked = true;
-        } else if is("connection") {
-            for word in header.value.split(|&b| b == b',') {
-                found.close |= word.trim_ascii().eq_ignore_ascii_case(b"close");
-                found.keep |= word.trim_ascii().eq_ignore_ascii_case(b"keep-alive");
-            }
-        } else if !OWN.iter().any(|own| is(own)) {
-            for part in [header.name.as_bytes(), b": ", header.value, b"\r\n"] {
-                found.passed.extend_from_slice(part);
-            }
-        }
-    }
-    // Two lengths at once are how one message is smuggled inside another.
-    if found.chunked && found.length.is_some() { None } else { Some(found) }
-}
-
-/// A header that stands there once: of two, nobody could say which one the next reader goes by.
-fn header<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
-    let mut found = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
-    let (first, None) = (found.next()?, found.next()) else { return None };
-    std::str::from_utf8(first.value).ok().map(str::trim)
-}
-
 fn number(text: &str) -> Option<f64> {
     text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
 }
@@ -389,7 +196,7 @@
                 Ok(_) | Err(httparse::Error::TooManyHeaders) => return self.bad(431),
                 Err(_) => return self.bad(400),
             };
-            let Some(lines) = lines(request.headers) else { return self.bad(400) };
+            let Some(lines) = lines(request.headers, &OWN) else { return self.bad(400) };
             self.up = request.method == Some("GET") && request.path == Some("/up");
             let close = lines.close || (request.version == Some(0) && !lines.keep);
             let body = match lines.chunked {
@@ -523,7 +330,7 @@
                 Ok(Status::Partial) if from.len() < MOST_HEAD => return Ok(None),
                 _ => return Err(broken("reply head")),
             };
-            let lines = lines(response.headers).ok_or_else(|| broken("reply headers"))?;
+            let lines = lines(response.headers, &OWN).ok_or_else(|| broken("reply headers"))?;
             let status = response.code.unwrap_or(0);
             let body = match (lines.chunked, lines.length) {
                 _ if status == 204 || status == 304 => Length::Sized(0),
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -18,6 +18,7 @@
 use configuration::{Again, Start};
 use counter::Counter;
 use discovery::Discovery;
+use http::HostSide;
 use peers::Peers;
 use route::{Around, Clock, Hall};
 use send::Kept;
@@ -64,7 +65,9 @@
     // Without a counter in the settings no call is ever made, and the address is not used.
     let counter = Counter::new(told.terms.count_timeout, start.counter.unwrap_or(start.listen));
     let room = (start.memory as f64 * 1e6 * LARGE_REPLIES) as usize;
-    let kept = Kept::new(places(HOSTS), told.idle_close, told.connect_timeout, room);
+    let room = Rc::new(Cell::new(room));
+    let codec = move || HostSide::new(room.clone());
+    let kept = Kept::new(places(HOSTS), told.idle_close, told.connect_timeout, codec);
     let peers = match start.peer_listen.filter(|_| told.terms.may_tell) {
         Some(own) => {
             let peers =
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -604,7 +604,8 @@
 #[test]
 fn a_counter_that_comes_back_is_asked_again() {
     let hosts = [Host::start(How::Well)];
-    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // An address of its own: on the common one another test may get the port before the counter is back.
+    let dead = TcpListener::bind("127.0.0.2:0").unwrap().local_addr().unwrap();
     let gateway = gateway_at("back", dead, &hosts);
     (0..5).for_each(|id| assert_eq!(gateway.ask(&look(id)).0, 200));
     let (_, calls) = counter_at(dead, Count::Well);
--- /dev/null
+++ b/harbour/src/control.rs
@@ -0,0 +1,257 @@
+//! The whole life of one control gateway, free of I/O: messages, ticks and disk results in, acts out. Owns how the parts
+//! stand to each other: the voter's disk comes before its word, what is chosen spreads by beats and pulls, sessions make
+//! members. Must never read a clock or touch a socket: `harbourmaster` does that.
+
+use crate::Act;
+use crate::duties::{Duties, Term};
+use crate::helm::{Change, Helm};
+use crate::roster::Roster;
+use crate::voter::Voter;
+use signal::{Beat, Duty, Hosts, Keeper, Node, Piece, Register, Slot, Vector, Word};
+use std::collections::BTreeMap;
+
+/// Between two signs of life to the other control gateways.
+const BEAT_EVERY: f64 = 0.3;
+
+/// What a control gateway starts from.
+pub struct Start {
+    pub keeper: Keeper,
+    /// The set of voters as far as known: from the disk, or from the seeds at the very first start.
+    pub voters: Vec<Node>,
+    /// Slots from the disk; none where the disk is empty though this is not the first start.
+    pub slots: Option<BTreeMap<Register, Slot>>,
+    pub first: bool,
+    pub seed: u64,
+}
+
+pub struct Control {
+    me: Node,
+    voters: Vec<Node>,
+    pub voter: Voter,
+    pub helm: Helm,
+    pub duties: Duties,
+    pub roster: Roster,
+    hosts: Hosts,
+    /// The fleet's clock is the own steady one and this.
+    ahead: f64,
+    beat_at: f64,
+}
+
+impl Control {
+    pub fn new(now: f64, start: Start) -> Control {
+        let Start { keeper, voters, slots, first, seed } = start;
+        let me = keeper.node;
+        let mut control = Control {
+            me,
+            voters: Vec::new(),
+            voter: Voter::new(now, me, slots),
+            helm: Helm::new(me, seed),
+            duties: Duties::new(now, me, !seed, first),
+            roster: Roster::new(keeper, seed),
+            hosts: Hosts::default(),
+            ahead: 0.0,
+            beat_at: f64::NEG_INFINITY,
+        };
+        control.set_voters(&voters);
+        control
+    }
+
+    fn set_voters(&mut self, voters: &[Node]) {
+        self.voters = voters.to_vec();
+        self.voter.set_voters(voters);
+        self.helm.set_voters(voters);
+        self.duties.set_voters(voters);
+    }
+
+    pub fn voters(&self) -> &[Node] {
+        &self.voters
+    }
+
+    pub fn clock(&self, now: f64) -> f64 {
+        now + self.ahead
+    }
+
+    /// The fleet's clock never goes back: the furthest one leads, a message's way behind.
+    pub fn heard_clock(&mut self, now: f64, clock: f64) {
+        if clock.is_finite() {
+            self.ahead = self.ahead.max(clock - now);
+        }
+    }
+
+    pub fn hosts(&self) -> &Hosts {
+        &self.hosts
+    }
+
+    /// The lookout's new list.
+    pub fn list(&mut self, now: f64, hosts: Hosts) -> Vec<Act> {
+        if (hosts.term, hosts.version) <= (self.hosts.term, self.hosts.version) {
+            return Vec::new();
+        }
+        self.hosts = hosts;
+        self.beat_all(now)
+    }
+
+    /// Since when this gateway holds the counts, and in which term.
+    pub fn tally(&self, now: f64) -> Option<Term> {
+        self.duties.holds(now, Duty::Tally)
+    }
+
+    pub fn greeting(&self) -> Word {
+        Word::Greet { keeper: self.roster.keeper.clone(), voters: self.voters.clone() }
+    }
+
+    pub fn vector(&self) -> Vector {
+        let stamp = |register| self.helm.chosen(register).map_or(0, |held| held.stamp);
+        Vector {
+            chart: stamp(Register::Chart),
+            evacuations: stamp(Register::Evacuations),
+            hosts: (self.hosts.term, self.hosts.version),
+            keepers: self.roster.keepers_stamp(),
+            sessions: self.roster.vector(),
+        }
+    }
+
+    /// A sign of life; `serial` is the hail that it answers.
+    pub fn beat(&self, now: f64, serial: u64) -> Word {
+        Word::Beat(Beat {
+            serial,
+            clock: self.clock(now),
+            confirmed: self.helm.confirmed(Register::Chart).map(|at| now - at),
+            vector: self.vector(),
+            posts: self.duties.posts(now),
+            pilots: self.roster.counted(),
+        })
+    }
+
+    /// What somebody with that vector lacks of what is held here.
+    pub fn lacking(&self, theirs: &Vector, sessions: bool) -> Vec<Piece> {
+        let mut pieces = Vec::new();
+        for (register, stamp) in
+            [(Register::Chart, theirs.chart), (Register::Evacuations, theirs.evacuations)]
+        {
+            pieces.extend(
+                self.helm
+                    .chosen(register)
+                    .filter(|h| h.stamp > stamp)
+                    .map(|h| Piece::Chosen(register, h.clone())),
+            );
+        }
+        if (self.hosts.term, self.hosts.version) > theirs.hosts {
+            pieces.push(Piece::Hosts(self.hosts.clone()));
+        }
+        if self.roster.keepers_stamp() != theirs.keepers {
+            pieces.push(Piece::Keepers(self.roster.keepers()));
+        }
+        let own = self.roster.sessions();
+        if sessions && !theirs.sessions.contains(&(own.source, own.boot, own.version)) {
+            pieces.push(Piece::Sessions(own));
+        }
+        pieces
+    }
+
+    /// Does that vector, of `from`, name anything that is not held here?
+    fn lacks(&self, from: Node, theirs: &Vector) -> bool {
+        let mine = self.vector();
+        let theirs_own = theirs.sessions.iter().find(|(node, _, _)| *node == from);
+        theirs.chart > mine.chart
+            || theirs.evacuations > mine.evacuations
+            || theirs.hosts > mine.hosts
+            || theirs.keepers != mine.keepers
+            || theirs_own.is_some_and(|own| !mine.sessions.contains(own))
+    }
+
+    pub fn take(&mut self, now: f64, pieces: Vec<Piece>) -> Vec<Act> {
+        let mut acts = Vec::new();
+        for piece in pieces {
+            match piece {
+                Piece::Chosen(register, held) => acts.extend(self.helm.learn(register, &held)),
+                Piece::Hosts(hosts) => {
+                    if (hosts.term, hosts.version) > (self.hosts.term, self.hosts.version) {
+                        self.hosts = hosts;
+                    }
+                }
+                Piece::Keepers(keepers) => {
+                    for keeper in &keepers {
+                        self.roster.meet(keeper);
+                    }
+                }
+                Piece::Sessions(sessions) => self.roster.told(now, sessions),
+            }
+        }
+        acts
+    }
+
+    pub fn propose(&mut self, now: f64, change: Change, token: u64) -> Vec<Act> {
+        self.helm.propose(now, change, token)
+    }
+
+    fn others(&self) -> impl Iterator<Item = Node> {
+        self.roster.keepers().into_iter().map(|k| k.node).filter(|&node| node != self.me)
+    }
+
+    /// Signs of life to all other control gateways at once, as something is new here.
+    pub fn beat_all(&mut self, now: f64) -> Vec<Act> {
+        self.beat_at = now;
+        let beat = self.beat(now, 0);
+        self.others().map(|node| Act::Send(node, beat.clone())).collect()
+    }
+
+    pub fn tick(&mut self, now: f64) -> Vec<Act> {
+        let mut acts = self.voter.tick(now);
+        acts.extend(self.helm.tick(now));
+        acts.extend(self.duties.tick(now));
+        if self.roster.tick(now) || now >= self.beat_at + BEAT_EVERY {
+            acts.extend(self.beat_all(now));
+        }
+        acts
+    }
+
+    /// A word of another control gateway, or of this one to itself.
+    pub fn hear(&mut self, now: f64, from: Node, word: Word) -> Vec<Act> {
+        match word {
+            Word::Greet { keeper, voters } => {
+                if self.voters.is_empty() && !voters.is_empty() {
+                    self.set_voters(&voters);
+                }
+                if self.roster.meet(&keeper) { self.beat_all(now) } else { Vec::new() }
+            }
+            Word::Beat(beat) => {
+                self.heard_clock(now, beat.clock);
+                self.roster.alive(now, from);
+                beat.posts.iter().for_each(|&post| self.duties.told(now, from, post));
+                match self.lacks(from, &beat.vector) {
+                    true => vec![Act::Send(from, Word::Pull(self.vector()))],
+                    false => Vec::new(),
+                }
+            }
+            Word::Pull(theirs) => match self.lacking(&theirs, true) {
+                pieces if pieces.is_empty() => Vec::new(),
+                pieces => vec![Act::Send(from, Word::News(pieces))],
+            },
+            Word::News(pieces) => self.take(now, pieces),
+            Word::Bid(..) | Word::Grant(..) | Word::Deny(_) | Word::Yield(..) => {
+                self.duties.hear(now, from, &word)
+            }
+            Word::Promise(..)
+            | Word::Accepted(..)
+            | Word::Refuse(..)
+            | Word::Answer(..)
+            | Word::Fetched(..) => self.helm.hear(now, from, &word),
+            Word::Prepare(..)
+            | Word::Accept(..)
+            | Word::Ask(_)
+            | Word::Fetch(_)
+            | Word::Recall(_)
+            | Word::Recalled(..) => self.voter.hear(from, &word),
+            Word::Hail { .. } | Word::Adds { .. } | Word::Totals { .. } => Vec::new(),
+        }
+    }
+
+    /// Leaves the duties to the nearest other control gateway that was heard of.
+    pub fn leave(&mut self, now: f64) -> Vec<Act> {
+        let mut others = self.roster.keepers();
+        others.retain(|k| k.node != self.me && self.voters.contains(&k.node));
+        others.sort_by_key(|k| (k.region != self.roster.keeper.region, k.node));
+        self.duties.leave(now, others.first().map(|k| k.node))
+    }
+}
--- /dev/null
+++ b/harbour/src/duties.rs
@@ -0,0 +1,226 @@
+//! Duties that one control gateway does for all: who holds which, and until when. A majority of the voters grants a term
+//! for a span; the holder renews it in time, names its successor when it leaves, and stops by its own clock before the
+//! voters' grants end. Grants are in memory alone: a voter that started anew grants nothing until any grant that it may
+//! have forgotten is over. Must never let two gateways hold one duty at a moment.
+
+use crate::{Act, majority};
+use signal::{DUTIES, Duty, Node, Post, Word};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long a grant lasts. Four renewals fit in, so that lost messages cost no duty; a dead holder's duty stands still
+/// for at most as long, well inside the time that hosts and counts may go unwatched.
+pub const SPAN: f64 = 1.2;
+const RENEW_EVERY: f64 = 0.3;
+/// A holder stops this part of the span early: its clock and the voters' may run apart by far less.
+const SAFE: f64 = 0.95;
+/// Between two bids of one gateway for a duty that nobody holds; chance spreads them so that one gets a majority.
+const BID_EVERY: f64 = 0.15;
+const BID_SPREAD: f64 = 0.3;
+
+#[derive(Clone, Copy)]
+struct Given {
+    holder: Node,
+    term: u64,
+    until: f64,
+}
+
+#[derive(Default)]
+struct Bidding {
+    /// A grant counts for the very bid that it answers: a late one of an earlier bid ends sooner.
+    serial: u64,
+    at: f64,
+    yes: BTreeSet<Node>,
+}
+
+/// A term that this gateway holds: since when, and until when at least.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Term {
+    pub term: u64,
+    pub since: f64,
+    pub until: f64,
+}
+
+pub struct Duties {
+    me: Node,
+    voters: Vec<Node>,
+    chance: oorandom::Rand64,
+    /// Grants nothing before.
+    mute_until: f64,
+    given: BTreeMap<Duty, Given>,
+    bidding: BTreeMap<Duty, Bidding>,
+    held: BTreeMap<Duty, Term>,
+    /// Who was last heard to hold it, and when.
+    known: BTreeMap<Duty, (Post, f64)>,
+    try_at: BTreeMap<Duty, f64>,
+    serial: u64,
+    leaving: bool,
+}
+
+impl Duties {
+    /// `first`: the whole system's first start, before which nothing can have been granted.
+    pub fn new(now: f64, me: Node, seed: u64, first: bool) -> Duties {
+        Duties {
+            me,
+            voters: Vec::new(),
+            chance: oorandom::Rand64::new(u128::from(seed)),
+            mute_until: if first { now } else { now + SPAN },
+            given: BTreeMap::new(),
+            bidding: BTreeMap::new(),
+            held: BTreeMap::new(),
+            known: BTreeMap::new(),
+            try_at: BTreeMap::new(),
+            serial: 0,
+            leaving: false,
+        }
+    }
+
+    pub fn set_voters(&mut self, voters: &[Node]) {
+        self.voters = voters.to_vec();
+    }
+
+    /// The term in which this gateway holds a duty now.
+    pub fn holds(&self, now: f64, duty: Duty) -> Option<Term> {
+        self.held.get(&duty).copied().filter(|term| now < term.until)
+    }
+
+    /// Holders as far as known, the own terms first.
+    pub fn posts(&self, now: f64) -> Vec<Post> {
+        let own = |duty| self.holds(now, duty).map(|t| Post { duty, holder: self.me, term: t.term });
+        DUTIES.into_iter().filter_map(|duty| own(duty).or(self.known.get(&duty).map(|k| k.0))).collect()
+    }
+
+    /// Word of who holds a duty; `from` the holder itself it is a sign of life.
+    pub fn told(&mut self, now: f64, from: Node, post: Post) {
+        let known = self.known.get(&post.duty);
+        if known.is_none_or(|(k, _)| k.term < post.term || (k.term == post.term && from == post.holder)) {
+            self.known.insert(post.duty, (post, now));
+        }
+    }
+
+    fn next_term(&self, duty: Duty) -> u64 {
+        let given = self.given.get(&duty).map_or(0, |g| g.term);
+        given.max(self.known.get(&duty).map_or(0, |(k, _)| k.term)) + 1
+    }
+
+    fn bid(&mut self, now: f64, duty: Duty, term: u64) -> Vec<Act> {
+        self.serial += 1;
+        let serial = self.serial;
+        self.bidding.insert(duty, Bidding { serial, at: now, yes: BTreeSet::new() });
+        let post = Post { duty, holder: self.me, term };
+        self.voters.iter().map(|&node| Act::Send(node, Word::Bid(post, serial))).collect()
+    }
+
+    pub fn tick(&mut self, now: f64) -> Vec<Act> {
+        let mut acts = Vec::new();
+        if self.leaving || self.voters.is_empty() {
+            return acts;
+        }
+        for duty in DUTIES {
+            if let Some(term) = self.holds(now, duty) {
+                if self.bidding.get(&duty).is_none_or(|b| now >= b.at + RENEW_EVERY) {
+                    acts.extend(self.bid(now, duty, term.term));
+                }
+                continue;
+            }
+            // A holder that was heard of lately is left alone.
+            let alive = |(k, at): &(Post, f64)| k.holder != self.me && now < at + SPAN;
+            let try_at = *self.try_at.entry(duty).or_insert(now + BID_SPREAD * self.chance.rand_float());
+            if self.known.get(&duty).is_some_and(alive) || now < try_at {
+                continue;
+            }
+            self.try_at.insert(duty, now + BID_EVERY + BID_SPREAD * self.chance.rand_float());
+            let term = self.next_term(duty);
+            acts.extend(self.bid(now, duty, term));
+        }
+        acts
+    }
+
+    pub fn hear(&mut self, now: f64, from: Node, word: &Word) -> Vec<Act> {
+        match word {
+            Word::Bid(post, serial) if self.voters.contains(&self.me) && now >= self.mute_until => {
+                self.asked(now, from, *post, *serial)
+            }
+            Word::Grant(post, serial) => self.granted(now, from, *post, *serial),
+            Word::Deny(post) => {
+                self.told(now, from, *post);
+                Vec::new()
+            }
+            Word::Yield(post, successor) => self.yielded(now, from, *post, *successor),
+            _ => Vec::new(),
+        }
+    }
+
+    fn asked(&mut self, now: f64, from: Node, post: Post, serial: u64) -> Vec<Act> {
+        let Post { duty, holder, term } = post;
+        if holder != from {
+            return Vec::new();
+        }
+        let before = self.given.get(&duty).copied();
+        // Another's grant is waited out; a new term is above all terms before it.
+        let free =
+            before.is_none_or(|g| (g.holder == from && g.term == term) || (now >= g.until && term > g.term));
+        if free {
+            self.given.insert(duty, Given { holder, term, until: now + SPAN });
+            return vec![Act::Send(from, Word::Grant(post, serial))];
+        }
+        let Some(Given { holder, term, .. }) = before else { return Vec::new() };
+        vec![Act::Send(from, Word::Deny(Post { duty, holder, term }))]
+    }
+
+    fn granted(&mut self, now: f64, from: Node, post: Post, serial: u64) -> Vec<Act> {
+        let Some(bidding) = self.bidding.get_mut(&post.duty).filter(|b| b.serial == serial) else {
+            return Vec::new();
+        };
+        if !self.voters.contains(&from) || self.leaving {
+            return Vec::new();
+        }
+        bidding.yes.insert(from);
+        if bidding.yes.len() < majority(self.voters.len()) {
+            return Vec::new();
+        }
+        // From before the question was sent: no voter's grant ends sooner.
+        let until = bidding.at + SPAN * SAFE;
+        let since = self.held.get(&post.duty).filter(|t| t.term == post.term).map_or(now, |t| t.since);
+        self.held.insert(post.duty, Term { term: post.term, since, until });
+        self.known.insert(post.duty, (post, now));
+        Vec::new()
+    }
+
+    /// Leaves all duties to `successor`, which may begin at once.
+    pub fn leave(&mut self, now: f64, successor: Option<Node>) -> Vec<Act> {
+        self.leaving = true;
+        let held: Vec<Duty> = DUTIES.into_iter().filter(|&duty| self.holds(now, duty).is_some()).collect();
+        let mut acts = Vec::new();
+        for duty in held {
+            let Some(term) = self.held.remove(&duty) else { continue };
+            let (Some(successor), post) = (successor, Post { duty, holder: self.me, term: term.term }) else {
+                continue;
+            };
+            let voters = self.voters.iter().filter(|&&node| node != successor);
+            let to = voters.chain([&successor]);
+            acts.extend(to.map(|&node| Act::Send(node, Word::Yield(post, successor))));
+        }
+        acts
+    }
+
+    fn yielded(&mut self, now: f64, from: Node, post: Post, successor: Node) -> Vec<Act> {
+        if from != post.holder {
+            return Vec::new();
+        }
+        if let Some(given) =
+            self.given.get_mut(&post.duty).filter(|g| (g.holder, g.term) == (from, post.term))
+        {
+            given.until = now;
+        }
+        let known = self.known.get(&post.duty).is_some_and(|(k, _)| k.holder == from);
+        if known {
+            self.known.remove(&post.duty);
+        }
+        if successor != self.me {
+            // Time for the one that was named.
+            self.try_at.insert(post.duty, now + BID_SPREAD);
+            return Vec::new();
+        }
+        self.bid(now, post.duty, post.term + 1)
+    }
+}
--- /dev/null
+++ b/harbour/src/lib.rs
@@ -0,0 +1,29 @@
+//! The cores of the control plane: registers, duties, roster. Each is handed time, messages and disk results and gives
+//! back what to send, write and tell; none does I/O or reads a clock, so that any number of them can be played against
+//! each other. `control.rs` shows the whole life of one control gateway.
+#![forbid(unsafe_code)]
+
+pub mod control;
+pub mod duties;
+pub mod helm;
+pub mod roster;
+pub mod voter;
+
+use signal::{Node, Register, Slot, Word};
+
+/// What a core wants done.
+#[derive(Clone, Debug)]
+pub enum Act {
+    Send(Node, Word),
+    /// Bring these slots to disk, synced, in the order of the acts; only then send the words.
+    Store(Vec<(Register, Slot)>, Vec<(Node, Word)>),
+    /// A register's chosen value is newer than before.
+    Learned(Register),
+    /// The operator's change with this token is chosen, or may or may not be.
+    Done(u64, bool),
+}
+
+/// So many of `voters` are more than half.
+pub fn majority(voters: usize) -> usize {
+    voters / 2 + 1
+}
--- /dev/null
+++ b/harbour/src/roster.rs
@@ -0,0 +1,147 @@
+//! Who is there: the data gateways in session with this control gateway, what the other control gateways tell of theirs,
+//! and the control gateways themselves. A data gateway is a member while its session stands. Must never drop what may
+//! still be acting alone: a lost member is counted for a while longer.
+
+use signal::{Keeper, Node, Pilot, Sessions};
+use std::collections::BTreeMap;
+
+/// A session without a sign of life for so long has ended: several are due in that time.
+const SESSION: f64 = 1.6;
+/// What a control gateway told stands for so long without a sign of life of it: its data gateways have others by then.
+const SOURCE: f64 = 3.0;
+/// A lost data gateway may go on alone, on its share, for longer than its keys' lease lasts.
+const COUNTED: f64 = 30.0;
+/// Most data and control gateways that are kept in mind; further ones are turned away.
+const MOST_PILOTS: usize = 2048;
+const MOST_KEEPERS: usize = 64;
+
+pub struct Roster {
+    pub keeper: Keeper,
+    boot: u64,
+    version: u64,
+    mine: BTreeMap<Node, (Pilot, f64)>,
+    others: BTreeMap<Node, (Sessions, f64)>,
+    keepers: BTreeMap<Node, Keeper>,
+    counted: BTreeMap<Node, f64>,
+}
+
+impl Roster {
+    /// `boot` tells this life of the gateway from earlier ones: later ones are greater as far as that can be had.
+    pub fn new(keeper: Keeper, boot: u64) -> Roster {
+        let keepers = BTreeMap::from([(keeper.node, keeper.clone())]);
+        let (mine, others, counted) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Roster { keeper, boot, version: 1, mine, others, keepers, counted }
+    }
+
+    /// A sign of life of a data gateway; true where something is new about it.
+    pub fn hail(&mut self, now: f64, pilot: &Pilot) -> bool {
+        if self.mine.len() >= MOST_PILOTS && !self.mine.contains_key(&pilot.node) {
+            return false;
+        }
+        self.counted.insert(pilot.node, now);
+        let before = self.mine.insert(pilot.node, (pilot.clone(), now));
+        let news = before.is_none_or(|(known, _)| known != *pilot);
+        self.version += u64::from(news);
+        news
+    }
+
+    /// The connection of its session ended.
+    pub fn lost(&mut self, node: Node) {
+        if self.mine.remove(&node).is_some() {
+            self.version += 1;
+        }
+    }
+
+    /// Forgets whose time is over; true where a session ended.
+    pub fn tick(&mut self, now: f64) -> bool {
+        let count = self.mine.len();
+        self.mine.retain(|_, (_, at)| now < *at + SESSION);
+        self.counted.retain(|_, at| now < *at + COUNTED);
+        let fewer = self.mine.len() < count;
+        self.version += u64::from(fewer);
+        fewer
+    }
+
+    pub fn sessions(&self) -> Sessions {
+        let pilots = self.mine.values().map(|(pilot, _)| pilot.clone()).collect();
+        Sessions { source: self.keeper.node, boot: self.boot, version: self.version, pilots }
+    }
+
+    /// What another control gateway tells of its sessions.
+    pub fn told(&mut self, now: f64, sessions: Sessions) {
+        for pilot in &sessions.pilots {
+            self.counted.insert(pilot.node, now);
+        }
+        if self.keepers.contains_key(&sessions.source) && sessions.source != self.keeper.node {
+            self.others.insert(sessions.source, (sessions, now));
+        }
+    }
+
+    /// A sign of life of another control gateway.
+    pub fn alive(&mut self, now: f64, source: Node) {
+        if let Some((sessions, at)) = self.others.get_mut(&source) {
+            *at = now;
+            for pilot in &sessions.pilots {
+                self.counted.insert(pilot.node, now);
+            }
+        }
+    }
+
+    /// For each source, this gateway among them: the life and version held.
+    pub fn vector(&self) -> Vec<(Node, u64, u64)> {
+        let others = self.others.iter().map(|(node, (s, _))| (*node, s.boot, s.version));
+        [(self.keeper.node, self.boot, self.version)].into_iter().chain(others).collect()
+    }
+
+    /// Data gateways that may be at work: the members, and those lost lately.
+    pub fn counted(&self) -> u32 {
+        self.counted.len() as u32
+    }
+
+    /// All data gateways with a standing session anywhere; of two words about one, the own comes first.
+    pub fn pilots(&self, now: f64) -> Vec<Pilot> {
+        let live = self.others.values().filter(|(_, at)| now < at + SOURCE);
+        let mut all: BTreeMap<Node, &Pilot> =
+            live.flat_map(|(s, _)| &s.pilots).map(|p| (p.node, p)).collect();
+        all.extend(self.mine.values().map(|(pilot, _)| (pilot.node, pilot)));
+        all.into_values().cloned().collect()
+    }
+
+    pub fn meet(&mut self, keeper: &Keeper) -> bool {
+        let known = self.keepers.get(&keeper.node) == Some(keeper);
+        if known || (self.keepers.len() >= MOST_KEEPERS && !self.keepers.contains_key(&keeper.node)) {
+            return false;
+        }
+        self.keepers.insert(keeper.node, keeper.clone());
+        true
+    }
+
+    pub fn keepers(&self) -> Vec<Keeper> {
+        self.keepers.values().cloned().collect()
+    }
+
+    /// Changes with the set of control gateways.
+    pub fn keepers_stamp(&self) -> u64 {
+        self.keepers.keys().fold(self.keepers.len() as u64, |sum, &node| {
+            sum.wrapping_mul(0x0100_0000_01b3).wrapping_add(u64::from(node))
+        })
+    }
+
+    /// Where a client in that zone should go, nearest first: its zone's data gateways, and its region's where the zone has
+    /// fewer than two to choose from, and all where the region has none. Of more than `most` a part drawn by `turn`.
+    pub fn resolve(&self, now: f64, zone: &str, region: &str, most: usize, turn: usize) -> Vec<Pilot> {
+        const CHOICE: usize = 2;
+        let ready: Vec<Pilot> = self.pilots(now).into_iter().filter(|p| p.ready).collect();
+        let near: Vec<Pilot> = ready.iter().filter(|p| p.zone == zone).cloned().collect();
+        let around: Vec<Pilot> = ready.iter().filter(|p| p.region == region).cloned().collect();
+        let mut chosen = match (near.len(), around.len()) {
+            (CHOICE.., _) => near,
+            (_, 1..) => around,
+            _ => ready,
+        };
+        let start = turn % chosen.len().max(1);
+        chosen.rotate_left(start);
+        chosen.truncate(most);
+        chosen
+    }
+}
--- /dev/null
+++ b/harbourmaster/src/links.rs
@@ -0,0 +1,156 @@
+//! Connections between the system's own processes at a control gateway: one out to each other control gateway, and those
+//! that come in, from control gateways, from data gateways' sessions and from those that count. Owns them and their bounds.
+//! Must never answer for the core: words go in, words come out.
+
+use crate::port::Port;
+use futures_util::StreamExt;
+use mooring::{Out, split};
+use signal::{Node, Word};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+/// Words waiting on one connection; more than these means that the peer doesn't read.
+const MOST_WORDS: usize = 256;
+/// Between two calls of a control gateway that isn't reached.
+const AGAIN: Duration = Duration::from_millis(250);
+/// The first word on a connection that comes in is due by then.
+const FIRST_WORD: Duration = Duration::from_secs(3);
+const MOST_CONNECTIONS: usize = 2048;
+
+/// Keeps a link to each control gateway that is known, and to the seeds.
+pub async fn keep(port: Rc<Port>) {
+    loop {
+        let mut known: Vec<Node> =
+            port.look(|control, _| control.roster.keepers().iter().map(|k| k.node).collect());
+        known.extend(port.settings.seeds.iter().map(|seed| mooring::node_of(*seed.ip())));
+        for node in known {
+            if node != port.me && !port.links.borrow().contains_key(&node) {
+                let (out, words) = mpsc::channel(MOST_WORDS);
+                port.links.borrow_mut().insert(node, out);
+                spawn_local(link(port.clone(), node, words));
+            }
+        }
+        sleep(AGAIN).await;
+    }
+}
+
+/// The link to one control gateway, called again for as long as this process lives.
+async fn link(port: Rc<Port>, node: Node, mut words: mpsc::Receiver<Word>) {
+    let to = mooring::address_of(node, port.settings.port);
+    loop {
+        if let Ok(framed) = mooring::call(to).await {
+            let (out, mut source) = split(framed, MOST_WORDS);
+            // What waited for a link that was down is old.
+            while words.try_recv().is_ok() {}
+            let greeting = port.look(|control, _| control.greeting());
+            let mut open = out.try_send(greeting).is_ok();
+            while open {
+                tokio::select! {
+                    word = words.recv() => match word {
+                        Some(word) => open = out.send(word).await.is_ok(),
+                        None => return,
+                    },
+                    // The other side only ever ends it.
+                    _ = source.next() => open = false,
+                    _ = out.closed() => open = false,
+                }
+            }
+        }
+        sleep(AGAIN).await;
+    }
+}
+
+pub async fn listen(port: Rc<Port>, listener: TcpListener) {
+    let open = Rc::new(());
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) if Rc::strong_count(&open) <= MOST_CONNECTIONS => {
+                spawn_local(serve(port.clone(), stream, from, open.clone()));
+            }
+            Ok(_) => log::warn!("a connection too many is closed"),
+            Err(e) => {
+                log::warn!("accept: {e}");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve(port: Rc<Port>, stream: TcpStream, from: SocketAddr, _open: Rc<()>) {
+    mooring::tune(&stream);
+    let (out, mut words) = split(Framed::new(stream, signal::Wire::default()), MOST_WORDS);
+    let Ok(Some(first)) = timeout(FIRST_WORD, words.next()).await else { return };
+    let mut next = Some(first);
+    let mut who = Who::default();
+    while let Some(word) = next {
+        match word {
+            Ok(word) => heard(&port, &mut who, &out, word),
+            Err(e) => {
+                log::warn!("{from}: {e}; the connection ends");
+                break;
+            }
+        }
+        next = words.next().await;
+    }
+    if let Some(node) = who.pilot {
+        let mut sessions = port.sessions.borrow_mut();
+        if sessions.get(&node).is_some_and(|session| session.same_channel(&out)) {
+            sessions.remove(&node);
+            drop(sessions);
+            port.step(|control, now| {
+                control.roster.lost(node);
+                control.beat_all(now)
+            });
+        }
+    }
+}
+
+/// Who is at the other end, once it has said so.
+#[derive(Default)]
+struct Who {
+    keeper: Option<Node>,
+    pilot: Option<Node>,
+}
+
+fn heard(port: &Port, who: &mut Who, out: &Out, word: Word) {
+    match word {
+        Word::Greet { ref keeper, .. } => {
+            who.keeper = Some(keeper.node);
+            port.hear(keeper.node, word);
+        }
+        Word::Hail { serial, pilot, clock, terms } => {
+            who.pilot = Some(pilot.node);
+            port.sessions.borrow_mut().insert(pilot.node, out.clone());
+            port.step(|control, now| {
+                control.heard_clock(now, clock);
+                terms.iter().for_each(|&post| control.duties.told(now, 0, post));
+                if control.roster.hail(now, &pilot) { control.beat_all(now) } else { Vec::new() }
+            });
+            out.try_send(port.look(|control, now| control.beat(now, serial))).ok();
+        }
+        Word::Adds { term, clock, adds } => {
+            port.step(|control, now| {
+                control.heard_clock(now, clock);
+                Vec::new()
+            });
+            let totals = port.count(term, &adds);
+            out.try_send(Word::Totals { clock: port.look(|control, now| control.clock(now)), totals }).ok();
+        }
+        Word::Pull(theirs) if who.pilot.is_some() => {
+            let pieces = port.look(|control, _| control.lacking(&theirs, false));
+            if !pieces.is_empty() {
+                out.try_send(Word::News(pieces)).ok();
+            }
+        }
+        word => match who.keeper {
+            Some(keeper) => port.hear(keeper, word),
+            None => log::warn!("a word from somebody who has not said who it is"),
+        },
+    }
+}
--- /dev/null
+++ b/harbourmaster/src/main.rs
@@ -0,0 +1,235 @@
+//! archlink-harbourmaster: the control plane's program, and the operators' command line to it. Owns the command line and
+//! the order of start and end. Must never take part in a decision.
+#![forbid(unsafe_code)]
+
+mod desk;
+mod links;
+mod lookout;
+mod office;
+mod port;
+
+use chart::Settings;
+use clap::{Arg, ArgMatches, Command};
+use error_stack::{Report, ResultExt};
+use harbour::control::{Control, Start};
+use logbook::Logbook;
+use mooring::Clock;
+use port::Port;
+use signal::Keeper;
+use std::fmt;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::runtime::LocalOptions;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// The core's ticks: far shorter than anything it waits for.
+const TICK: Duration = Duration::from_millis(50);
+/// After SIGTERM: time for successors to be named and answers to leave.
+const LEAVE: Duration = Duration::from_millis(500);
+
+/// Why the program does not start, or a command does not come through.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MasterError {
+    /// The settings file can't be read or is wrong.
+    Settings,
+    /// The data folder can't be used.
+    Disk,
+    /// An address can't be listened on, or the system refuses what a server needs.
+    Start,
+    /// A command's file can't be read, or is no configuration.
+    File,
+    /// No control gateway was reached, or it refused.
+    Call,
+}
+
+impl fmt::Display for MasterError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            MasterError::Settings => "the settings file can't be used",
+            MasterError::Disk => "the data folder can't be used",
+            MasterError::Start => "the control gateway can't start",
+            MasterError::File => "the file can't be used",
+            MasterError::Call => "the call did not come through",
+        })
+    }
+}
+
+impl std::error::Error for MasterError {}
+
+type Outcome<T> = Result<T, Report<MasterError>>;
+
+fn settings_path() -> PathBuf {
+    std::env::var_os("ARCHLINK_CONFIG").map_or_else(|| "/etc/archlink/settings.json".into(), PathBuf::from)
+}
+
+fn read_settings() -> Outcome<Settings> {
+    let path = settings_path();
+    let text = std::fs::read_to_string(&path)
+        .change_context(MasterError::Settings)
+        .attach_with(|| path.display().to_string())?;
+    Settings::read(&text).change_context(MasterError::Settings)
+}
+
+async fn bind(address: Option<SocketAddr>, key: &'static str) -> Outcome<TcpListener> {
+    let address =
+        address.ok_or_else(|| Report::new(MasterError::Settings).attach(format!("{key}: missing")))?;
+    TcpListener::bind(address)
+        .await
+        .change_context(MasterError::Start)
+        .attach_with(|| format!("{key}: {address}"))
+}
+
+/// What the disk says of this gateway's past: the voters and slots that it had, if any of it is left.
+fn begin(settings: &Settings, clock: Clock) -> Outcome<(Control, Option<Logbook>)> {
+    let control = settings
+        .control
+        .ok_or_else(|| Report::new(MasterError::Settings).attach("Listen.Control: missing"))?;
+    let me = mooring::node_of(settings.ip);
+    let mut seeds: Vec<u32> = settings.seeds.iter().map(|seed| mooring::node_of(*seed.ip())).collect();
+    seeds.sort_unstable();
+    let (logbook, state) = match &settings.data {
+        Some(folder) => Logbook::open(folder)
+            .change_context(MasterError::Disk)
+            .map(|(book, state)| (Some(book), state))?,
+        None => (None, logbook::State::default()),
+    };
+    let remembers = !state.voters.is_empty();
+    if !remembers && !settings.first_start {
+        log::warn!("the disk is empty: silent as a voter until a majority has told what it holds");
+    }
+    let start = Start {
+        keeper: Keeper {
+            node: me,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            control: SocketAddrV4::new(settings.ip, control.port()),
+        },
+        // The seeds are the same three everywhere at the very first start, and only then.
+        voters: if remembers || !settings.first_start { state.voters } else { seeds },
+        slots: (remembers || settings.first_start).then_some(state.slots),
+        first: settings.first_start && !remembers,
+        seed: mooring::chance(),
+    };
+    Ok((Control::new(clock.now(), start), logbook))
+}
+
+async fn run(settings: Settings) -> Outcome<()> {
+    let clock = Clock::start();
+    let (control, logbook) = begin(&settings, clock)?;
+    let (kept, mut words) = mpsc::unbounded_channel();
+    let offices = [
+        bind(settings.control, "Listen.Control").await?,
+        bind(settings.directory, "Listen.Directory").await?,
+    ];
+    let inner = bind(Some(SocketAddrV4::new(settings.ip, settings.port).into()), "InternalPorts").await?;
+    let port = Port::new(settings, clock, control, logbook, kept);
+    let on_disk = port.clone();
+    spawn_local(async move {
+        while let Some(then) = words.recv().await {
+            on_disk.kept(then);
+        }
+    });
+    spawn_local(links::listen(port.clone(), inner));
+    spawn_local(links::keep(port.clone()));
+    for office in offices {
+        spawn_local(office::listen(port.clone(), office));
+    }
+    spawn_local(lookout::watch(port.clone()));
+    let ticked = port.clone();
+    spawn_local(async move {
+        loop {
+            ticked.step(|control, now| control.tick(now));
+            sleep(TICK).await;
+        }
+    });
+    let mut term = signal(SignalKind::terminate()).change_context(MasterError::Start)?;
+    let mut again = signal(SignalKind::hangup()).change_context(MasterError::Start)?;
+    log::info!("control gateway {} is up", port.settings.name);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = again.recv() => match read_settings() {
+                Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
+                Err(e) => log::error!("settings: {e:#}; what is in use stays"),
+            },
+        }
+    }
+    leave(&port).await;
+    Ok(())
+}
+
+async fn leave(port: &Rc<Port>) {
+    log::info!("leaving");
+    port.leaving.set(true);
+    port.step(|control, now| control.leave(now));
+    sleep(LEAVE).await;
+}
+
+fn on_runtime<T>(work: impl Future<Output = Outcome<T>>) -> Outcome<T> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime =
+        builder.enable_all().build_local(LocalOptions::default()).change_context(MasterError::Start)?;
+    runtime.block_on(work)
+}
+
+fn commands() -> Command {
+    let file = || Arg::new("FILE").required(true).help("a configuration, as JSON");
+    let zone = || Arg::new("ZONE").required(true);
+    let to = Arg::new("to")
+        .long("to")
+        .global(true)
+        .value_name("ADDRESS")
+        .help("a control gateway; else the seeds of the settings file");
+    Command::new("archlink-harbourmaster")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("The control plane of archlink, and the operators' way to it")
+        .arg(to)
+        .subcommand(Command::new("run").about("Serve as a control gateway (also without a subcommand)"))
+        .subcommand(Command::new("check").about("Check a configuration without sending it").arg(file()))
+        .subcommand(Command::new("read").about("Print the configuration in force"))
+        .subcommand(Command::new("replace").about("Put a configuration in force").arg(file()))
+        .subcommand(
+            Command::new("evacuate")
+                .about("Send nothing more to a zone's hosts, or take it back")
+                .subcommand_required(true)
+                .subcommand(Command::new("begin").arg(zone()))
+                .subcommand(Command::new("finish").arg(zone())),
+        )
+        .subcommand(Command::new("members").about("Control and data gateways that are there"))
+        .subcommand(Command::new("hosts").about("Hosts, and evacuated zones"))
+        .subcommand(Command::new("duties").about("Who does what for all"))
+        .subcommand(Command::new("quota").about("Tenants' quotas, and the counter"))
+}
+
+fn begin_command(matches: &ArgMatches) -> Outcome<()> {
+    match matches.subcommand() {
+        None | Some(("run", _)) => {
+            let settings = read_settings()?;
+            let level = std::env::var("ARCHLINK_LOG").ok().and_then(|l| l.parse().ok());
+            mooring::log_to_stderr(&settings.name, level.unwrap_or(log::LevelFilter::Info));
+            on_runtime(run(settings))
+        }
+        Some((name, below)) => on_runtime(desk::command(name, below)),
+    }
+}
+
+fn main() {
+    if let Err(e) = begin_command(&commands().get_matches()) {
+        eprintln!("archlink-harbourmaster: {e:#}");
+        std::process::exit(2);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn the_command_line_is_sound() {
+        super::commands().debug_assert();
+    }
+}
--- a/migrate/src/lib.rs
+++ b/migrate/src/lib.rs
@@ -48,7 +48,10 @@
     let told = archlink_settings::from_json(&Value::Object(settings.clone()))
         .map_err(|e| format!("settings.{e}"))?;
     let mut file = Map::new();
-    for (key, value) in old {
+    // By name: the order of a parsed object hangs on how the JSON library is built, a listing must not.
+    let mut keys: Vec<_> = old.iter().collect();
+    keys.sort_by_key(|(key, _)| *key);
+    for (key, value) in keys {
         match key.as_str() {
             "settings" => {}
             "known" => {
--- /dev/null
+++ b/mooring/src/lib.rs
@@ -0,0 +1,105 @@
+//! What both programs of the system start with: the log, the steady clock, and sockets between the system's own processes.
+//! Must never decide anything.
+#![forbid(unsafe_code)]
+
+use futures_util::SinkExt;
+use signal::{Wire, Word};
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
+use std::io::{self, Write};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout};
+use tokio_util::codec::{Framed, FramedParts};
+
+/// JSON lines on standard error: `at` in seconds since the start, `node`, `level`, `from`, `what`.
+pub fn log_to_stderr(node: &str, level: log::LevelFilter) {
+    let (node, started) = (node.to_string(), Instant::now());
+    let format = move |to: &mut env_logger::fmt::Formatter, record: &log::Record| {
+        let at = (started.elapsed().as_secs_f64() * 1e3).round() / 1e3;
+        let line = serde_json::json!({"at": at, "node": node, "level": record.level().as_str(),
+            "from": record.target(), "what": record.args().to_string()});
+        writeln!(to, "{line}")
+    };
+    env_logger::Builder::new().filter_level(level).format(format).init();
+    std::panic::set_hook(Box::new(|panic| log::error!("{panic}")));
+}
+
+/// Seconds on the steady clock since the process started.
+#[derive(Clone, Copy)]
+pub struct Clock(Instant);
+
+impl Clock {
+    pub fn start() -> Clock {
+        Clock(Instant::now())
+    }
+
+    pub fn now(&self) -> f64 {
+        self.0.elapsed().as_secs_f64()
+    }
+
+    pub fn instant(&self, at: f64) -> Instant {
+        self.0 + Duration::from_secs_f64(at.clamp(0.0, 1e6))
+    }
+}
+
+/// A number that differs from start to start.
+pub fn chance() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
+
+pub fn node_of(ip: Ipv4Addr) -> signal::Node {
+    u32::from(ip)
+}
+
+pub fn address_of(node: signal::Node, port: u16) -> SocketAddr {
+    SocketAddrV4::new(Ipv4Addr::from(node), port).into()
+}
+
+/// How long a peer may be silent to what was sent it before the connection counts as dead: a machine without power says
+/// nothing, and what is kept for it would only come late.
+const UNHEARD: Duration = Duration::from_millis(1500);
+const CONNECT: Duration = Duration::from_millis(600);
+
+pub fn tune(stream: &TcpStream) {
+    stream.set_nodelay(true).ok();
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNHEARD)).ok();
+}
+
+/// Calls another process of the system.
+pub async fn call(to: SocketAddr) -> io::Result<Framed<TcpStream, Wire>> {
+    let stream = timeout(CONNECT, TcpStream::connect(to)).await??;
+    tune(&stream);
+    Ok(Framed::new(stream, Wire::default()))
+}
+
+/// Words on their way out of one connection; bounded, and full means that the peer doesn't read.
+pub type Out = mpsc::Sender<Word>;
+
+/// Gives a connection's writing to a task of its own, which gathers what is there into one write; ends with either side.
+pub fn split(
+    framed: Framed<TcpStream, Wire>,
+    most: usize,
+) -> (Out, impl futures_util::Stream<Item = io::Result<Word>>) {
+    let FramedParts { io, read_buf, .. } = framed.into_parts();
+    let (read, write) = io.into_split();
+    let mut sink = tokio_util::codec::FramedWrite::new(write, Wire::default());
+    let mut source = tokio_util::codec::FramedRead::new(read, Wire::default());
+    *source.read_buffer_mut() = read_buf;
+    let (out, mut words) = mpsc::channel::<Word>(most);
+    spawn_local(async move {
+        while let Some(word) = words.recv().await {
+            let mut sent = sink.feed(&word).await;
+            while let (Ok(()), Ok(word)) = (&sent, words.try_recv()) {
+                sent = sink.feed(&word).await;
+            }
+            if sent.is_err() || sink.flush().await.is_err() {
+                return;
+            }
+        }
+    });
+    (out, source)
+}
--- /dev/null
+++ b/pilot/src/deck.rs
@@ -0,0 +1,333 @@
+//! What a data gateway knows, in one place: the configuration in force and how long keys may be served by it, hosts, shares
+//! and budgets, and the way to the counter. Owns the views that news is folded into. Must never block or wait: tasks look,
+//! step, and go on.
+
+use berth::budget::{Budget, Rule};
+use berth::choice::{Berth, ColdRule, ServiceTerms};
+use chart::{Chart, Settings, Tenant};
+use fairway::kept::Kept;
+use fairway::plain::CallerSide;
+use mooring::Clock;
+use signal::{Add, Beat, Duty, Keeper, Node, Piece, Pilot, Post, Register, Vector};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use tally::asker::{Asker, Quota, Verdict};
+use tally::share::{Bound, Share};
+use tokio::sync::{Notify, oneshot};
+
+/// Keys are served this much shorter than the rule allows: what was let on may still be on its way.
+const REVOKE_MARGIN: f64 = 0.7;
+
+pub struct Deck {
+    pub settings: Settings,
+    pub clock: Clock,
+    pub kept: Rc<Kept<CallerSide>>,
+    chart: RefCell<Option<Rc<Chart>>>,
+    /// Until when a majority has vouched for the configuration held here.
+    vouched: Cell<f64>,
+    pub berth: RefCell<Berth>,
+    pub budget: RefCell<Budget>,
+    shares: RefCell<HashMap<String, Share>>,
+    asker: RefCell<Asker>,
+    verdicts: RefCell<HashMap<u32, oneshot::Sender<Verdict>>>,
+    /// The fleet's clock is the own steady one and this.
+    ahead: Cell<f64>,
+    posts: RefCell<Vec<Post>>,
+    vector: RefCell<Vector>,
+    pub keepers: RefCell<Vec<Keeper>>,
+    pilots: Cell<u32>,
+    pub leaving: Cell<bool>,
+    /// Rung when there are adds to send, or the module's wake-up is sooner than before.
+    pub to_count: Notify,
+    pub to_wake: Notify,
+    woken_at: Cell<f64>,
+    /// Rung when readiness or the holder of the counts may have changed.
+    pub turned: Notify,
+}
+
+impl Deck {
+    pub fn new(settings: Settings, clock: Clock, kept: Rc<Kept<CallerSide>>) -> Rc<Deck> {
+        let bounds = settings.bounds;
+        let cold = ColdRule { overrun: bounds.cold_overrun, slack: bounds.cold_slack };
+        let (zone, region, zones) = (settings.zone.clone(), settings.region.clone(), settings.zones.clone());
+        let berth = Berth::new(zone, region, zones, cold, mooring::chance());
+        Rc::new(Deck {
+            clock,
+            kept,
+            chart: RefCell::default(),
+            vouched: Cell::new(f64::NEG_INFINITY),
+            berth: RefCell::new(berth),
+            budget: RefCell::default(),
+            shares: RefCell::default(),
+            asker: RefCell::new(Asker::new(clock.now(), mooring::chance())),
+            verdicts: RefCell::default(),
+            ahead: Cell::new(0.0),
+            posts: RefCell::default(),
+            vector: RefCell::default(),
+            keepers: RefCell::default(),
+            pilots: Cell::new(0),
+            leaving: Cell::new(false),
+            to_count: Notify::new(),
+            to_wake: Notify::new(),
+            woken_at: Cell::new(f64::INFINITY),
+            turned: Notify::new(),
+            settings,
+        })
+    }
+
+    pub fn chart(&self) -> Option<Rc<Chart>> {
+        self.chart.borrow().clone()
+    }
+
+    pub fn fleet_clock(&self) -> f64 {
+        self.clock.now() + self.ahead.get()
+    }
+
+    pub fn heard_clock(&self, clock: f64) {
+        if clock.is_finite() {
+            self.ahead.set(self.ahead.get().max(clock - self.clock.now()));
+        }
+    }
+
+    /// May keys be served by the configuration that is held? Asked again before each hand-off.
+    pub fn vouched(&self) -> bool {
+        self.clock.now() < self.vouched.get()
+    }
+
+    /// Can clients be sent here?
+    pub fn ready(&self) -> bool {
+        !self.leaving.get()
+            && self.chart.borrow().is_some()
+            && self.vouched()
+            && self.berth.borrow().count().1 > 0
+    }
+
+    pub fn pilot(&self) -> Pilot {
+        let unset = SocketAddrV4::new(self.settings.ip, 0);
+        let front = match self.settings.front {
+            Some(SocketAddr::V4(front)) => front,
+            _ => unset,
+        };
+        Pilot {
+            node: mooring::node_of(self.settings.ip),
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+            front,
+            ready: self.ready(),
+        }
+    }
+
+    pub fn posts(&self) -> Vec<Post> {
+        self.posts.borrow().clone()
+    }
+
+    /// Who holds the counts, and in which term.
+    pub fn counter(&self) -> Option<(Node, u64)> {
+        let posts = self.posts.borrow();
+        posts.iter().find(|post| post.duty == Duty::Tally).map(|post| (post.holder, post.term))
+    }
+
+    /// Data gateways that may be at work.
+    pub fn pilots(&self) -> u32 {
+        self.pilots.get()
+    }
+
+    pub fn vector(&self) -> Vector {
+        self.vector.borrow().clone()
+    }
+
+    /// A control gateway's sign of life; `asked` is when the hail was sent that it answers. True where it holds something
+    /// that is lacking here.
+    pub fn beat(&self, beat: &Beat, asked: Option<f64>) -> bool {
+        self.heard_clock(beat.clock);
+        let mut turned = false;
+        for post in &beat.posts {
+            let mut posts = self.posts.borrow_mut();
+            match posts.iter_mut().find(|known| known.duty == post.duty) {
+                Some(known) if known.term >= post.term => {}
+                Some(known) => (*known, turned) = (*post, true),
+                None => {
+                    posts.push(*post);
+                    turned = true;
+                }
+            }
+        }
+        self.pilots.set(beat.pilots);
+        self.berth.borrow_mut().set_gateways(beat.pilots);
+        let mine = self.vector.borrow();
+        let theirs = &beat.vector;
+        // It vouches only for what is held here: a newer one has to be pulled first.
+        if let (Some(asked), Some(age)) = (asked, beat.confirmed.filter(|_| theirs.chart == mine.chart)) {
+            let lease = self.settings.bounds.revoke - REVOKE_MARGIN;
+            let ready = self.vouched();
+            self.vouched.set(self.vouched.get().max(asked - age.max(0.0) + lease));
+            turned |= ready != self.vouched();
+        }
+        if turned {
+            self.turned.notify_waiters();
+        }
+        theirs.chart > mine.chart
+            || theirs.evacuations > mine.evacuations
+            || theirs.hosts > mine.hosts
+            || theirs.keepers != mine.keepers
+    }
+
+    pub fn take(&self, pieces: Vec<Piece>) {
+        let now = self.clock.now();
+        for piece in pieces {
+            match piece {
+                Piece::Chosen(Register::Chart, held) if held.stamp > self.vector.borrow().chart => {
+                    match Chart::read(&held.value) {
+                        Ok(chart) => self.take_chart(held.stamp, chart),
+                        Err(e) => log::error!("a configuration that was chosen can't be read: {e}"),
+                    }
+                }
+                Piece::Chosen(Register::Evacuations, held)
+                    if held.stamp > self.vector.borrow().evacuations =>
+                {
+                    let zones: BTreeSet<String> =
+                        String::from_utf8_lossy(&held.value).lines().map(str::to_string).collect();
+                    log::info!("evacuated zones: {zones:?}");
+                    self.berth.borrow_mut().set_evacuated(now, zones);
+                    self.vector.borrow_mut().evacuations = held.stamp;
+                }
+                Piece::Hosts(hosts) if (hosts.term, hosts.version) > self.vector.borrow().hosts => {
+                    let left = self.berth.borrow_mut().list(now, &hosts.lines);
+                    left.into_iter().for_each(|key| self.kept.forget(key));
+                    self.vector.borrow_mut().hosts = (hosts.term, hosts.version);
+                }
+                Piece::Keepers(keepers) => {
+                    let stamp = keepers.iter().map(|k| k.node).fold(keepers.len() as u64, |sum, node| {
+                        sum.wrapping_mul(0x0100_0000_01b3).wrapping_add(u64::from(node))
+                    });
+                    self.vector.borrow_mut().keepers = stamp;
+                    *self.keepers.borrow_mut() = keepers;
+                }
+                _ => {}
+            }
+        }
+        self.turned.notify_waiters();
+    }
+
+    fn take_chart(&self, stamp: u64, chart: Chart) {
+        log::info!("configuration {:08x} is in force", chart.version);
+        let quota = |t: &Tenant| Quota { tenant: t.name.clone(), rate: t.rate, burst: t.burst };
+        let quotas: Vec<Quota> = chart.tenants.iter().map(quota).collect();
+        self.asker.borrow_mut().quotas(&quotas);
+        let services = chart.services.values().map(|service| {
+            let terms = ServiceTerms { cold_rate: service.cold_rate, cold_period: service.cold_period };
+            (service.name.clone(), terms)
+        });
+        self.berth.borrow_mut().set_services(services.collect());
+        *self.chart.borrow_mut() = Some(Rc::new(chart));
+        self.vector.borrow_mut().chart = stamp;
+    }
+
+    pub fn budget_rule(&self) -> Rule {
+        Rule { ratio: self.settings.bounds.retry_ratio, slack: self.settings.bounds.retry_slack }
+    }
+
+    /// One request against its tenant's quota: the design's question first, and this gateway's share where the answer is no.
+    /// `Err` is when to come back.
+    pub async fn admit(&self, tenant: &Tenant, left: f64) -> Result<(), f64> {
+        let (sender, verdict) = oneshot::channel();
+        let asked = {
+            let mut asker = self.asker.borrow_mut();
+            if !asker.has_room() {
+                return Err(0.1);
+            }
+            let asked = asker.ask(self.fleet_clock(), &tenant.name, left);
+            if let Some(id) = asked {
+                self.verdicts.borrow_mut().insert(id, sender);
+            }
+            asked
+        };
+        let Some(id) = asked else { return Ok(()) };
+        self.settle();
+        let gone = Gone { deck: self, id };
+        let verdict = verdict.await;
+        drop(gone);
+        match verdict {
+            Ok(Verdict::Granted) => Ok(()),
+            Ok(Verdict::Refused(_)) if self.share(tenant) => Ok(()),
+            Ok(Verdict::Refused(wait)) => Err(wait),
+            Err(_) => Err(0.1),
+        }
+    }
+
+    fn share(&self, tenant: &Tenant) -> bool {
+        let bounds = &self.settings.bounds;
+        let bound =
+            Bound { window: bounds.quota_window, overrun: bounds.quota_overrun, slack: bounds.quota_slack };
+        let now = self.clock.now();
+        let mut shares = self.shares.borrow_mut();
+        // The steady clock counts from this process's start.
+        let share = shares.entry(tenant.name.clone()).or_insert_with(|| Share::new(0.0));
+        share.take(now, &bound, tenant.rate, tenant.burst, self.pilots.get())
+    }
+
+    /// Hands out what the asker has to say after each call on it.
+    fn settle(&self) {
+        let mut asker = self.asker.borrow_mut();
+        for (id, verdict) in asker.verdicts() {
+            if let Some(waiting) = self.verdicts.borrow_mut().remove(&id) {
+                waiting.send(verdict).ok();
+            }
+        }
+        asker.lines().into_iter().for_each(|line| log::info!("{line}"));
+        if asker.has_adds() {
+            self.to_count.notify_one();
+        }
+        let wake = asker.wake_at().unwrap_or(f64::INFINITY);
+        if wake < self.woken_at.get() {
+            self.woken_at.set(wake);
+            self.to_wake.notify_one();
+        }
+    }
+
+    pub fn adds(&self) -> Vec<Add> {
+        self.asker.borrow_mut().adds()
+    }
+
+    pub fn totals(&self, totals: &[f32]) {
+        self.asker.borrow_mut().totals(self.fleet_clock(), totals);
+        self.settle();
+    }
+
+    pub fn uncounted(&self, count: usize, added: bool) {
+        self.asker.borrow_mut().failed(self.fleet_clock(), count, added);
+        self.settle();
+    }
+
+    /// The module's timer: sleeps until the next wake-up, or until that becomes sooner.
+    pub async fn keep_waking(&self) {
+        loop {
+            let at = self.asker.borrow().wake_at().unwrap_or(f64::INFINITY);
+            self.woken_at.set(at);
+            let until = self.clock.instant(at - self.ahead.get());
+            tokio::select! {
+                _ = tokio::time::sleep_until(until) => {
+                    self.asker.borrow_mut().woken(self.fleet_clock());
+                    self.settle();
+                }
+                _ = self.to_wake.notified() => {}
+            }
+        }
+    }
+}
+
+/// A client that leaves before the verdict gives its inquiry's place back.
+struct Gone<'a> {
+    deck: &'a Deck,
+    id: u32,
+}
+
+impl Drop for Gone<'_> {
+    fn drop(&mut self) {
+        if self.deck.verdicts.borrow_mut().remove(&self.id).is_some() {
+            self.deck.asker.borrow_mut().left(self.deck.fleet_clock(), self.id);
+        }
+    }
+}
--- /dev/null
+++ b/pilot/src/hand_off.rs
@@ -0,0 +1,165 @@
+//! One hand-off on one connection to a host, from the first byte to the last, carried to its end whoever still waits for
+//! it: a request is not broken off while its host is at work. Owns the host protocol's names. Must never try twice, nor
+//! take for an answer what does not carry the request's own id, the host's seal and its whole body.
+
+use crate::deck::Deck;
+use crate::voyage::Ended;
+use berth::choice::{Chosen, End};
+use fairway::kept::Line;
+use fairway::plain::{CallerSide, Reply, Request, Sending};
+use futures_util::{SinkExt, StreamExt};
+use std::io;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+/// What is read of a host's answer; its other headers are passed on.
+pub const READ: &[&str] = &["attempt-id", "server-seal", "not-executed", "server-load", "content-encoding"];
+const ATTEMPT_ID: usize = 0;
+const SERVER_SEAL: usize = 1;
+const NOT_EXECUTED: usize = 2;
+const SERVER_LOAD: usize = 3;
+const CONTENT_ENCODING: usize = 4;
+
+/// Surplus answers in the place of the one that is due, before the connection counts as lost.
+const MOST_SURPLUS: usize = 4;
+
+/// A client's request as it goes to hosts.
+pub struct Cargo {
+    pub request: Request,
+    pub id: String,
+    /// Header lines beside those that differ from host to host.
+    pub lines: Vec<u8>,
+    pub origin: String,
+}
+
+/// What came of a hand-off.
+pub struct Outcome {
+    pub how: Ended,
+    pub reply: Option<Reply>,
+}
+
+fn load(text: &str) -> Option<(f64, f64, f64)> {
+    let mut parts = text.split(',').map(|part| part.trim().parse::<f64>().ok().filter(|n| n.is_finite()));
+    Some((parts.next()??, parts.next()??, parts.next()??))
+}
+
+enum Broken {
+    Unsent,
+    Lost(io::Error),
+}
+
+async fn exchange(deck: &Deck, to: &Chosen, cargo: &Cargo, until: Instant) -> Result<Reply, Broken> {
+    let line = match deck.kept.take(to.key, to.address.into()) {
+        Some(line) => line,
+        None => match timeout_at(until, deck.kept.open(to.address.into())).await {
+            Ok(Ok(line)) => line,
+            _ => return Err(Broken::Unsent),
+        },
+    };
+    // A new connection took its time: what is no longer allowed is not sent.
+    if !deck.berth.borrow().still(to.key) || Instant::now() >= until {
+        return Err(Broken::Unsent);
+    }
+    let left = (until - Instant::now()).as_millis().max(1);
+    let mut lines = cargo.lines.clone();
+    lines.extend_from_slice(format!("Time-Remaining: {left}\r\nTarget-Instance: {}\r\n", to.id).as_bytes());
+    let Request { method, target, body, .. } = &cargo.request;
+    let sending = Sending { method, target, host: &cargo.origin, lines: &lines, body };
+    speak(deck, to.key, line, sending, &cargo.id).await
+}
+
+async fn speak(
+    deck: &Deck,
+    key: u64,
+    mut line: Line<CallerSide>,
+    sending: Sending<'_>,
+    id: &str,
+) -> Result<Reply, Broken> {
+    line.framed.send(sending).await.map_err(|_| Broken::Unsent)?;
+    let lost = |text: &str| Broken::Lost(io::Error::new(io::ErrorKind::InvalidData, text.to_string()));
+    for surplus in 0..MOST_SURPLUS {
+        let reply = match line.framed.next().await {
+            Some(reply) => reply.map_err(Broken::Lost)?,
+            None => return Err(Broken::Lost(io::ErrorKind::UnexpectedEof.into())),
+        };
+        if reply.fields[ATTEMPT_ID].once() != Some(id) {
+            // Somebody else's, come late: it is nobody's now. The own one may still follow.
+            continue;
+        }
+        let whole = (200..300).contains(&reply.status);
+        if reply.fields[CONTENT_ENCODING] != Default::default() {
+            return Err(lost("an encoded body is not the host's"));
+        }
+        if whole && reply.fields[SERVER_SEAL].once().is_none() {
+            return Err(lost("an answer without its seal"));
+        }
+        if reply.keep && surplus == 0 && line.framed.read_buffer().is_empty() {
+            deck.kept.keep(key, line, reply.idle);
+        }
+        return Ok(reply);
+    }
+    Err(lost("only other requests' answers"))
+}
+
+/// Carries one hand-off to its end, tells the berth, and whoever still waits.
+pub async fn carry(
+    deck: Rc<Deck>,
+    to: Chosen,
+    cargo: Rc<Cargo>,
+    until: Instant,
+    done: mpsc::Sender<Outcome>,
+) {
+    let began = deck.clock.now();
+    let ended = timeout_at(until, exchange(&deck, &to, &cargo, until)).await;
+    let (how, end, reply) = match ended {
+        Ok(Ok(reply)) => {
+            let load = reply.fields[SERVER_LOAD].once().and_then(load);
+            match reply.status {
+                421 => (Ended::Declined, End::Elsewhere, None),
+                _ if reply.fields[NOT_EXECUTED].once() == Some("1") => {
+                    (Ended::Declined, End::Full(load), None)
+                }
+                500.. => (Ended::Failed, End::Answered(load), Some(reply)),
+                _ => (Ended::Honoured, End::Answered(load), Some(reply)),
+            }
+        }
+        Ok(Err(Broken::Unsent)) => (Ended::Unsent, End::Unreached, None),
+        Ok(Err(Broken::Lost(cause))) => {
+            log::debug!("host {}: {cause}", to.id);
+            (Ended::Lost, End::Broken, None)
+        }
+        Err(_) => (Ended::Lost, End::Silent, None),
+    };
+    if end == End::Unreached || end == End::Silent {
+        deck.kept.forget(to.key);
+    }
+    let now = deck.clock.now();
+    deck.berth.borrow_mut().ended(now, to.key, now - began, end);
+    done.try_send(Outcome { how, reply }).ok();
+}
+
+/// The host's answer as the client gets it.
+pub fn relayed(reply: Reply) -> fairway::plain::Answer {
+    let mut lines = Vec::with_capacity(reply.passed.len() + 96);
+    for (name, field) in [("Attempt-Id", ATTEMPT_ID), ("Server-Seal", SERVER_SEAL)] {
+        if let Some(text) = reply.fields[field].once() {
+            lines.extend_from_slice(format!("{name}: {text}\r\n").as_bytes());
+        }
+    }
+    lines.extend_from_slice(&reply.passed);
+    fairway::plain::Answer { status: reply.status, lines, body: reply.body, close: false }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_load_is_three_numbers() {
+        assert_eq!(load("3, 0,8"), Some((3.0, 0.0, 8.0)));
+        for bad in ["", "3", "3,0", "a,b,c", "inf,0,1"] {
+            assert_eq!(load(bad), None, "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/pilot/src/request.rs
@@ -0,0 +1,231 @@
+//! A client's request from its head to its answer: which route, whose key, within which quota, by which host. Owns the
+//! client protocol's names and the order of these questions. Must never send on what an earlier question refused, and
+//! answers what is refused at once.
+
+use crate::deck::Deck;
+use crate::hand_off::{Cargo, Outcome, carry, relayed};
+use crate::voyage::{Final, Next, Rules, Voyage};
+use berth::choice::{Chosen, Need};
+use chart::{Chart, Route, Tenant};
+use fairway::plain::{Answer, Field, Request};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until};
+
+/// Headers that are read of a request and never passed on as the client sent them.
+pub const READ: &[&str] = &["attempt-id", "time-remaining", "key", "subscriber", "target-instance"];
+const ATTEMPT_ID: usize = 0;
+const TIME_REMAINING: usize = 1;
+const KEY: usize = 2;
+
+/// Where neither the client nor the route says how long.
+const LONGEST: f64 = 60.0;
+/// Where a configuration, or a word that it still holds, is due any moment.
+const SOON: f64 = 0.25;
+
+fn come_back(status: u16, after: f64) -> Answer {
+    Answer::plain(status).with("Retry-After", format_args!("{:.3}", after.max(0.001)))
+}
+
+/// Homes of the route and of the tenant bind both; `None`: no region is left.
+fn homes(route: &Route, tenant: Option<&Tenant>) -> Option<Vec<String>> {
+    let theirs = tenant.map_or(&[][..], |tenant| &tenant.homes);
+    match (route.homes.is_empty(), theirs.is_empty()) {
+        (_, true) => Some(route.homes.clone()),
+        (true, _) => Some(theirs.to_vec()),
+        _ => {
+            let both: Vec<String> =
+                route.homes.iter().filter(|home| theirs.contains(home)).cloned().collect();
+            (!both.is_empty()).then_some(both)
+        }
+    }
+}
+
+struct Asked<'a> {
+    route: &'a Route,
+    tenant: Option<&'a Tenant>,
+}
+
+/// The route and the tenant of a request, or the answer that it gets instead.
+fn place<'a>(deck: &Deck, chart: &'a Chart, request: &Request) -> Result<Asked<'a>, Answer> {
+    let Some(origin) = request.host.once() else { return Err(Answer::plain(400)) };
+    let path = request.target.split('?').next().unwrap_or("");
+    let origin = origin
+        .rsplit_once(':')
+        .filter(|(_, port)| port.parse::<u16>().is_ok())
+        .map_or(origin, |(name, _)| name);
+    // Which routes and keys there are may have changed: who can't know says so.
+    let known = deck.vouched();
+    let Some(number) = chart.route(origin, path) else {
+        return Err(if known { Answer::plain(404) } else { come_back(503, SOON) });
+    };
+    let route = &chart.routes[number];
+    if route.public || !chart.keyed {
+        return Ok(Asked { route, tenant: None });
+    }
+    if !known {
+        return Err(come_back(503, SOON));
+    }
+    let tenant = match &request.fields[KEY] {
+        Field::Once(key) => chart.tenant(key),
+        Field::Absent => None,
+        Field::Unclear => return Err(Answer::plain(400)),
+    };
+    match tenant {
+        Some(number) => Ok(Asked { route, tenant: Some(&chart.tenants[number]) }),
+        None => Err(Answer::plain(401)),
+    }
+}
+
+/// One of a route's services by their weights, first, and the others after it.
+fn services(route: &Route) -> Vec<&str> {
+    let sum: f64 = route.shares.iter().map(|share| share.weight).sum();
+    let mut at = (mooring::chance() >> 11) as f64 / (1_u64 << 53) as f64 * sum;
+    let mut first = 0;
+    for (n, share) in route.shares.iter().enumerate().filter(|_| route.shares.len() > 1) {
+        first = n;
+        at -= share.weight;
+        if at < 0.0 {
+            break;
+        }
+    }
+    let weighty = route.shares.iter().enumerate().filter(|(n, share)| *n != first && share.weight > 0.0);
+    [route.shares[first].service.as_str()]
+        .into_iter()
+        .chain(weighty.map(|(_, s)| s.service.as_str()))
+        .collect()
+}
+
+pub async fn respond(deck: &Rc<Deck>, request: Request) -> Answer {
+    let began = deck.clock.now();
+    let Some(chart) = deck.chart() else { return come_back(503, SOON) };
+    let (id, told) = match (&request.fields[ATTEMPT_ID], &request.fields[TIME_REMAINING]) {
+        (Field::Once(id), Field::Once(told)) => (id.clone(), Some(told.parse::<f64>())),
+        (Field::Once(id), Field::Absent) => (id.clone(), None),
+        _ => return Answer::plain(400),
+    };
+    let told = match told {
+        Some(Ok(millis)) if millis.is_finite() && millis >= 0.0 => millis / 1e3,
+        None => LONGEST,
+        _ => return Answer::plain(400),
+    };
+    if request.body.len() > chart.most_body {
+        return Answer::plain(413);
+    }
+    let asked = match place(deck, &chart, &request) {
+        Ok(asked) => asked,
+        Err(answer) => return answer,
+    };
+    let left = told.min(asked.route.timeout).min(LONGEST);
+    let mut way = Way {
+        deck,
+        homes: homes(asked.route, asked.tenant),
+        services: services(asked.route),
+        goal: asked.route.goal,
+        until: began + left,
+        tried: Vec::new(),
+    };
+    let rules =
+        Rules { repeatable: asked.route.repeatable, attempts: asked.route.attempts, goal: asked.route.goal };
+    // Room first: a request that no host can take costs its tenant nothing.
+    if way.choose().is_none() {
+        return finally(Voyage::new(rules).no_more());
+    }
+    if let Some(tenant) = asked.tenant.filter(|tenant| tenant.rate > 0.0)
+        && let Err(wait) = deck.admit(tenant, left).await
+    {
+        return come_back(429, wait);
+    }
+    let mut lines = request.passed.clone();
+    lines.extend_from_slice(format!("Attempt-Id: {id}\r\n").as_bytes());
+    if let Some(tenant) = asked.tenant {
+        lines.extend_from_slice(format!("Subscriber: {}\r\n", tenant.name).as_bytes());
+    }
+    let origin = request.host.once().unwrap_or("").to_string();
+    let cargo = Rc::new(Cargo { request, id, lines, origin });
+    sail(&mut way, Voyage::new(rules), &cargo, &asked).await
+}
+
+fn finally(last: Final) -> Answer {
+    match last {
+        Final::ComeBack(after) => come_back(503, after),
+        Final::Unknown => Answer::plain(502),
+    }
+}
+
+struct Way<'a> {
+    deck: &'a Rc<Deck>,
+    homes: Option<Vec<String>>,
+    services: Vec<&'a str>,
+    goal: f64,
+    until: f64,
+    tried: Vec<u64>,
+}
+
+impl Way<'_> {
+    /// A host for it, and its service; the one that the weights drew first.
+    fn choose(&self) -> Option<(Chosen, &str)> {
+        let homes = self.homes.as_deref()?;
+        let now = self.deck.clock.now();
+        let mut berth = self.deck.berth.borrow_mut();
+        self.services.iter().find_map(|service| {
+            let need = Need { service, homes, goal: self.goal, left: self.until - now, tried: &self.tried };
+            berth.choose(now, &need).map(|chosen| (chosen, *service))
+        })
+    }
+}
+
+async fn sail(way: &mut Way<'_>, mut voyage: Voyage, cargo: &Rc<Cargo>, asked: &Asked<'_>) -> Answer {
+    const MOST_OUT: usize = 8;
+    let deck = way.deck.clone();
+    let until = deck.clock.instant(way.until);
+    let (sender, mut outcomes) = mpsc::channel::<Outcome>(MOST_OUT);
+    let (mut go, mut paid) = (true, false);
+    let mut doubt: Option<Instant> = None;
+    loop {
+        if std::mem::take(&mut go) {
+            // What is true of keys is looked at again after each wait, a freeze of the machine among them.
+            let allowed = asked.tenant.is_none() || deck.vouched();
+            let chosen =
+                way.choose().filter(|_| allowed).map(|(chosen, service)| (chosen, service.to_string()));
+            let chosen = chosen.filter(|(_, service)| !paid || deck.budget.borrow_mut().take(service));
+            match chosen {
+                Some((to, service)) => {
+                    let now = deck.clock.now();
+                    if !paid {
+                        deck.budget.borrow_mut().earn(&deck.budget_rule(), &service, deck.pilots());
+                    }
+                    doubt = voyage.doubt_after(to.expected).map(|after| deck.clock.instant(now + after));
+                    voyage.begins();
+                    if voyage.doubt_after(0.0).is_none() {
+                        doubt = None;
+                    }
+                    way.tried.push(to.key);
+                    deck.berth.borrow_mut().sent(now, to.key);
+                    spawn_local(carry(deck.clone(), to, cargo.clone(), until, sender.clone()));
+                }
+                None if voyage.waits() => doubt = None,
+                None => return finally(voyage.no_more()),
+            }
+        }
+        let doubted = doubt.unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
+        tokio::select! {
+            biased;
+            outcome = outcomes.recv() => {
+                let Some(Outcome { how, reply }) = outcome else { return finally(voyage.no_more()) };
+                match voyage.ended(how, way.until - deck.clock.now()) {
+                    Next::Relay => match reply {
+                        Some(reply) => return relayed(reply),
+                        None => return finally(voyage.no_more()),
+                    },
+                    Next::Again { paid: costs } => (go, paid) = (true, costs),
+                    Next::Wait => {}
+                    Next::GiveUp(last) => return finally(last),
+                }
+            }
+            _ = sleep_until(doubted), if doubt.is_some() => (go, paid, doubt) = (true, true, None),
+        }
+    }
+}
--- /dev/null
+++ b/pilot/src/voyage.rs
@@ -0,0 +1,176 @@
+//! One request's way through hosts, as decisions alone: whether it may go to another host, when a second one is asked
+//! beside a silent first, and which answer the client gets in the end. Does no I/O and reads no clock. Must never let what
+//! may have run be sent again or refused, unless it may be repeated; must never hold back what is given up.
+
+use std::cmp::Ordering;
+
+/// What the route says of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    pub repeatable: bool,
+    /// Hosts that it may be sent to.
+    pub attempts: u32,
+    pub goal: f64,
+}
+
+/// How one hand-off ended, in the words that matter here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// A whole answer of the host's own that the client may have.
+    Honoured,
+    /// A whole answer, but a failure (5xx): it ran.
+    Failed,
+    /// It says that it did not run it: full, late, or another host.
+    Declined,
+    /// Not sent whole: it never ran, and the host never saw it.
+    Unsent,
+    /// Sent, and no answer that can be used: it may have run.
+    Lost,
+}
+
+/// What to do now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Next {
+    /// The answer that just came goes to the client.
+    Relay,
+    /// To another host, if the budget has a further try for it (`paid`) and a host has room.
+    Again { paid: bool },
+    /// Another hand-off is out: its end decides.
+    Wait,
+    /// It ends here.
+    GiveUp(Final),
+}
+
+/// The answer of our own that a client gets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Final {
+    /// 503 with the time to come back: it has not run and never will.
+    ComeBack(f64),
+    /// 502: it may have run.
+    Unknown,
+}
+
+/// Hosts that can't be reached cost no arrival: so many may be passed over.
+const MOST_UNSENT: u32 = 3;
+/// A refused client that comes back in time is worth more than one that comes late: a small part of the goal time.
+const COME_BACK: f64 = 0.15;
+/// A silent host is doubted after this part of the goal time, or this many times what was expected, whichever is later.
+const DOUBT_GOAL: f64 = 0.6;
+const DOUBT_EXPECTED: f64 = 3.0;
+
+pub struct Voyage {
+    rules: Rules,
+    sent: u32,
+    unsent: u32,
+    out: u32,
+    may_have_run: bool,
+}
+
+impl Voyage {
+    pub fn new(rules: Rules) -> Voyage {
+        Voyage { rules, sent: 0, unsent: 0, out: 0, may_have_run: false }
+    }
+
+    /// Seconds after which a second host is asked beside a silent one; none where that may not be.
+    pub fn doubt_after(&self, expected: f64) -> Option<f64> {
+        let may = self.rules.repeatable && self.sent < self.rules.attempts && self.rules.goal.is_finite();
+        may.then(|| (self.rules.goal * DOUBT_GOAL).max(expected * DOUBT_EXPECTED))
+    }
+
+    /// A hand-off begins.
+    pub fn begins(&mut self) {
+        self.sent += 1;
+        self.out += 1;
+    }
+
+    /// A hand-off ended; `left` seconds remain.
+    pub fn ended(&mut self, how: Ended, left: f64) -> Next {
+        const TOO_LATE: f64 = 0.01;
+        self.out -= 1;
+        match how {
+            Ended::Honoured => return Next::Relay,
+            Ended::Failed | Ended::Lost => self.may_have_run = true,
+            Ended::Unsent => {
+                self.sent -= 1;
+                self.unsent += 1;
+            }
+            Ended::Declined => {}
+        }
+        let free = !self.may_have_run || self.rules.repeatable;
+        let again = free
+            && left > TOO_LATE
+            && self.unsent <= MOST_UNSENT
+            && self.sent.cmp(&self.rules.attempts) == Ordering::Less;
+        match (again, self.out) {
+            (_, 1..) => Next::Wait,
+            (true, _) => Next::Again { paid: how != Ended::Unsent || self.sent > 0 },
+            // A host's own failure is its answer: it goes to the client as it is.
+            (false, _) if how == Ended::Failed => Next::Relay,
+            (false, _) => Next::GiveUp(self.last()),
+        }
+    }
+
+    /// No host, or no further try, is to be had.
+    pub fn no_more(&self) -> Final {
+        self.last()
+    }
+
+    /// Is any hand-off out?
+    pub fn waits(&self) -> bool {
+        self.out > 0
+    }
+
+    fn last(&self) -> Final {
+        let ran = self.may_have_run || self.out > 0;
+        let goal = if self.rules.goal.is_finite() { self.rules.goal } else { 1.0 };
+        if ran { Final::Unknown } else { Final::ComeBack(goal * COME_BACK) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn voyage(repeatable: bool) -> Voyage {
+        Voyage::new(Rules { repeatable, attempts: 2, goal: 0.4 })
+    }
+
+    /// Over all ends in all orders: what may have run and may not be repeated never goes again and is never refused, and
+    /// nothing goes to more hosts than the route allows.
+    #[test]
+    fn what_may_have_run_is_neither_sent_again_nor_refused() {
+        const ENDS: [Ended; 4] = [Ended::Failed, Ended::Declined, Ended::Unsent, Ended::Lost];
+        for repeatable in [false, true] {
+            for code in 0..4_usize.pow(6) {
+                let (mut voyage, mut ran, mut arrived) = (voyage(repeatable), false, 0);
+                for n in 0..6 {
+                    let how = ENDS[code / 4_usize.pow(n) % 4];
+                    voyage.begins();
+                    assert!(!ran || repeatable);
+                    arrived += u32::from(how != Ended::Unsent);
+                    ran |= matches!(how, Ended::Failed | Ended::Lost);
+                    match voyage.ended(how, 1.0) {
+                        Next::Again { .. } => continue,
+                        Next::GiveUp(last) => assert_eq!(last == Final::Unknown, ran),
+                        Next::Relay => assert_eq!(how, Ended::Failed),
+                        Next::Wait => panic!("nothing is out"),
+                    }
+                    break;
+                }
+                assert!(arrived <= 2, "{arrived}");
+            }
+        }
+    }
+
+    #[test]
+    fn a_silent_host_is_doubted_only_where_the_request_may_be_repeated() {
+        assert_eq!(voyage(false).doubt_after(0.1), None);
+        let mut twice = voyage(true);
+        assert_eq!(twice.doubt_after(0.1), Some(0.1 * DOUBT_EXPECTED));
+        twice.begins();
+        twice.begins();
+        assert_eq!(twice.doubt_after(0.1), None);
+        assert_eq!(twice.ended(Ended::Lost, 1.0), Next::Wait);
+        assert_eq!(twice.ended(Ended::Lost, 1.0), Next::GiveUp(Final::Unknown));
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -287,6 +287,13 @@
         gateway
     }
 
+    /// Other quotas from now on; plans keep their numbers, and customers what is known of their use.
+    pub fn replan(&mut self, plans: Vec<PlanTerms>) {
+        self.ceilings = plans.iter().map(|p| ceiling(p, self.terms.may_count)).collect();
+        self.tiers = plans.iter().map(|p| tiers(p, self.terms.most_units)).collect();
+        self.terms.plans = plans;
+    }
+
     fn after(&mut self, delay: f64, step: Step) -> Due {
         self.serial += 1;
         let due = ((self.now + delay).to_bits(), self.serial);
--- /dev/null
+++ b/tally/src/book.rs
@@ -0,0 +1,64 @@
+//! The counter: names that live for a while, and their totals. One control gateway holds it for a term; nothing of it is
+//! on disk or handed over. A new holder answers nothing until what its predecessor granted has left every tier's window.
+//! Must never answer outside its term.
+
+use signal::Add;
+use std::collections::HashMap;
+
+/// Most names at a time; an add to a further one gets no answer, which a gateway takes for a silent counter.
+const MOST_NAMES: usize = 200_000;
+/// Between two looks for names whose life is over.
+const SWEEP_EVERY: f64 = 1.0;
+
+/// How long a new holder is silent: the predecessor's windows are forgotten, and a fresh window beside one that was
+/// used up would grant a burst twice. After as long as any burst takes to come back it was free anyway; longer ones fit
+/// into the rule's own overrun, as no more than `rate` a second was granted meanwhile.
+pub fn silence(bursts: impl Iterator<Item = (f64, f64)>) -> f64 {
+    const LEAST: f64 = 1.0;
+    const MOST: f64 = 3.0;
+    let longest =
+        bursts.filter(|(rate, _)| *rate > 0.0).map(|(rate, burst)| burst / rate).fold(LEAST, f64::max);
+    longest.min(MOST)
+}
+
+#[derive(Default)]
+pub struct Book {
+    term: u64,
+    names: HashMap<u64, (f64, f64)>,
+    swept: f64,
+}
+
+impl Book {
+    /// Totals after these adds, in their order; none where a name finds no room. Another term begins with nothing.
+    pub fn add(&mut self, now: f64, term: u64, adds: &[Add]) -> Option<Vec<f32>> {
+        if self.term != term {
+            self.names.clear();
+            self.term = term;
+        }
+        if now > self.swept + SWEEP_EVERY {
+            self.swept = now;
+            self.names.retain(|_, (_, until)| now < *until);
+        }
+        adds.iter().map(|add| self.one(now, add)).collect()
+    }
+
+    fn one(&mut self, now: f64, add: &Add) -> Option<f32> {
+        const MOST_KEEP: f64 = 60.0;
+        if self.names.len() >= MOST_NAMES && !self.names.contains_key(&add.name) {
+            return None;
+        }
+        let fresh = (0.0, now + f64::from(add.keep).clamp(0.0, MOST_KEEP));
+        let entry = self.names.entry(add.name).or_insert(fresh);
+        if now >= entry.1 {
+            *entry = fresh;
+        }
+        if add.amount.is_finite() {
+            entry.0 += f64::from(add.amount);
+        }
+        Some(entry.0 as f32)
+    }
+
+    pub fn names(&self) -> usize {
+        self.names.len()
+    }
+}
--- /dev/null
+++ b/tally/src/share.rs
@@ -0,0 +1,63 @@
+//! What one data gateway lets on by itself, of a quota that all share: beyond what the counter granted, or where no
+//! counter answers. Owns the split of the rule's bound between the counter and the shares. Must never depend on a message
+//! arriving: a share is used up and comes back by the own steady clock alone.
+//!
+//! For a tenant of rate r and burst b the rule allows, in any window of W seconds and over all gateways,
+//! `(r W + b)(1 + overrun) + slack`. The counter grants at most `COUNTED (r W + b)` of it, in the module's tiers. The rest,
+//! less `MARGIN` of it for what is on its way, is split evenly: each of n gateways lets on an n-th of it in any W seconds.
+//! A gateway that starts anew waits for as long first, as its life before may have let on all of it a moment ago; one that
+//! is cut off or wakes from a freeze has no more than its own.
+
+use std::collections::VecDeque;
+
+/// Part of quotas that the counter grants. The rest is not lost: tenants that press are let on by the shares as well. Less
+/// here keeps more alive without a counter; more is fairer to tenants whose requests come through few gateways.
+pub const COUNTED: f64 = 0.85;
+/// Part of the shares' sum that is never let on: two totals on their way at once, clocks that differ, a gateway that
+/// joins and is not yet counted everywhere.
+const MARGIN: f64 = 0.12;
+/// The rule's figures.
+#[derive(Clone, Copy, Debug)]
+pub struct Bound {
+    pub window: f64,
+    pub overrun: f64,
+    pub slack: f64,
+}
+
+impl Bound {
+    /// All that the shares of a quota may let on together in any window.
+    pub fn shares(&self, rate: f64, burst: f64) -> f64 {
+        let whole = rate * self.window + burst;
+        (whole * (1.0 + self.overrun - COUNTED) + self.slack) * (1.0 - MARGIN)
+    }
+}
+
+/// One tenant's share at this gateway: when requests were let on, within the last window.
+#[derive(Clone, Debug)]
+pub struct Share {
+    since: f64,
+    let_on: VecDeque<f64>,
+}
+
+impl Share {
+    /// `since` is when this gateway started.
+    pub fn new(since: f64) -> Share {
+        Share { since, let_on: VecDeque::new() }
+    }
+
+    /// Lets one request on, if there is room; `gateways` may be at work, 0 is not known yet.
+    pub fn take(&mut self, now: f64, bound: &Bound, rate: f64, burst: f64, gateways: u32) -> bool {
+        if gateways == 0 || now < self.since + bound.window {
+            return false;
+        }
+        while self.let_on.front().is_some_and(|at| *at + bound.window <= now) {
+            self.let_on.pop_front();
+        }
+        let mine = bound.shares(rate, burst) / f64::from(gateways);
+        let room = self.let_on.len() as f64 + 1.0 <= mine;
+        if room {
+            self.let_on.push_back(now);
+        }
+        room
+    }
+}
--- /dev/null
+++ b/tally/tests/quota.rs
@@ -0,0 +1,141 @@
+//! Several askers on one book, in made-up time: the rule's bound over all of them, with the counter at hand, silent, moved,
+//! and for a gateway that is cut off. Guards against shares granted twice and against refusals inside a quota.
+
+use signal::Add;
+use std::collections::VecDeque;
+use tally::asker::{Asker, Quota, Verdict};
+use tally::book::Book;
+use tally::share::{Bound, Share};
+
+const BOUND: Bound = Bound { window: 5.0, overrun: 0.1, slack: 20.0 };
+
+struct Gateway {
+    asker: Asker,
+    share: Share,
+    /// Adds on their way, and when they arrive.
+    way: VecDeque<(f64, Vec<Add>)>,
+    back: VecDeque<(f64, Vec<f32>)>,
+}
+
+/// Plays `gateways` for `length` seconds with `pressed` requests a second in all; `reach(gateway, now)` is the counter's
+/// term, 0 where it isn't reached. Gives back when requests were let on.
+fn play(
+    gateways: usize,
+    quota: &Quota,
+    pressed: f64,
+    length: f64,
+    reach: impl Fn(usize, f64) -> u64,
+) -> Vec<f64> {
+    const STEP: f64 = 0.002;
+    const WAY: f64 = 0.02;
+    let start = 1000.0;
+    let mut book = Book::default();
+    let mut all: Vec<Gateway> = (0..gateways)
+        .map(|n| {
+            let mut asker = Asker::new(start, n as u64);
+            asker.quotas(std::slice::from_ref(quota));
+            Gateway {
+                asker,
+                share: Share::new(start - BOUND.window),
+                way: VecDeque::new(),
+                back: VecDeque::new(),
+            }
+        })
+        .collect();
+    let (mut let_on, mut due, mut next) = (Vec::new(), 0.0, 0);
+    for step in 0..(length / STEP) as u64 {
+        let now = start + step as f64 * STEP;
+        due += pressed * STEP;
+        while due >= 1.0 {
+            due -= 1.0;
+            next = (next + 1) % gateways;
+            all[next].asker.ask(now, &quota.tenant, 1.0);
+        }
+        for (n, gateway) in all.iter_mut().enumerate() {
+            while gateway.way.front().is_some_and(|w| w.0 <= now) {
+                let (_, adds) = gateway.way.pop_front().unwrap();
+                match reach(n, now) {
+                    0 => gateway.asker.failed(now, adds.len(), false),
+                    term => gateway.back.push_back((now + WAY, book.add(now, term, &adds).unwrap())),
+                }
+            }
+            while gateway.back.front().is_some_and(|w| w.0 <= now) {
+                let (_, totals) = gateway.back.pop_front().unwrap();
+                gateway.asker.totals(now, &totals);
+            }
+            if gateway.asker.wake_at().is_some_and(|at| at <= now) {
+                gateway.asker.woken(now);
+            }
+            for (_, verdict) in gateway.asker.verdicts() {
+                let mut share = || gateway.share.take(now, &BOUND, quota.rate, quota.burst, gateways as u32);
+                if verdict == Verdict::Granted || share() {
+                    let_on.push(now - start);
+                }
+            }
+            let adds = gateway.asker.adds();
+            if !adds.is_empty() {
+                gateway.way.push_back((now + WAY, adds));
+            }
+        }
+    }
+    let_on
+}
+
+fn most_in_a_window(let_on: &[f64]) -> usize {
+    let from = |n: usize| let_on[n..].iter().take_while(|at| **at < let_on[n] + BOUND.window).count();
+    (0..let_on.len()).map(from).max().unwrap_or(0)
+}
+
+fn quota(rate: f64, burst: f64) -> Quota {
+    Quota { tenant: "lab".into(), rate, burst }
+}
+
+fn allowed(quota: &Quota) -> f64 {
+    (quota.rate * BOUND.window + quota.burst) * (1.0 + BOUND.overrun) + BOUND.slack
+}
+
+#[test]
+fn a_pressed_quota_is_kept_and_used_with_the_counter_at_hand() {
+    for quota in [quota(120.0, 120.0), quota(8.0, 8.0), quota(30.0, 90.0)] {
+        let let_on = play(9, &quota, quota.rate * 5.0, 16.0, |_, _| 1);
+        let most = most_in_a_window(&let_on) as f64;
+        assert!(most <= allowed(&quota), "{most} of {} for {quota:?}", allowed(&quota));
+        let rate = let_on.iter().filter(|at| **at > 6.0).count() as f64 / 10.0;
+        assert!(rate >= quota.rate * 0.95, "{rate} a second for {quota:?}");
+    }
+}
+
+#[test]
+fn a_calm_tenant_is_let_on_whole() {
+    let quota = quota(60.0, 60.0);
+    let let_on = play(9, &quota, 37.0, 12.0, |_, _| 1);
+    assert!(let_on.len() as f64 >= 37.0 * 12.0 * 0.99 - 2.0, "{}", let_on.len());
+}
+
+/// Four gateways lose the counter and go on alone while the others press it; then it moves to a new holder, which is
+/// silent first; and some come back to it.
+#[test]
+fn the_quota_holds_for_gateways_cut_off_and_through_a_new_holder() {
+    for quota in [quota(120.0, 120.0), quota(8.0, 8.0)] {
+        let silence = tally::book::silence([(quota.rate, quota.burst)].into_iter());
+        let reach = |n: usize, now: f64| match now - 1000.0 {
+            t if n < 4 && (3.0..9.0).contains(&t) => 0,
+            t if (7.0..8.2 + silence).contains(&t) => 0,
+            t if t < 7.0 => 1,
+            _ => 2,
+        };
+        let let_on = play(9, &quota, quota.rate * 6.0, 20.0, reach);
+        let most = most_in_a_window(&let_on) as f64;
+        assert!(most <= allowed(&quota), "{most} of {} for {quota:?}", allowed(&quota));
+    }
+}
+
+/// Without any counter the shares alone let on, within their own sum, and still serve a calm tenant in part.
+#[test]
+fn a_silent_counter_leaves_the_shares() {
+    let quota = quota(120.0, 120.0);
+    let let_on = play(9, &quota, 600.0, 15.0, |_, _| 0);
+    let most = most_in_a_window(&let_on) as f64;
+    assert!(most <= BOUND.shares(quota.rate, quota.burst), "{most}");
+    assert!(most >= BOUND.shares(quota.rate, quota.burst) * 0.8, "{most}");
+}
