A counter that is gone is back within 1.5 s, and shares carry more until then

Ruled out: loss of links, slow disks.

Change: grants last 0.8 s; the lookout's needs no mute; silence 0.4 s, as living gateways claim their parts again; pilots know whether the counter answers and ask it nothing else meanwhile; the counter has 0.72 of a quota and shares the rest; voters are asked every 0.1 s until something is confirmed.

--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -8,14 +8,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a grant lasts. Four renewals fit in, so that lost messages cost no duty; a dead holder's duty stands still
-/// for at most as long, well inside the time that hosts and counts may go unwatched.
-pub const SPAN: f64 = 1.2;
-const RENEW_EVERY: f64 = 0.3;
+/// for at most as long, and every request without a counter is one decided by shares alone.
+pub const SPAN: f64 = 0.8;
+const RENEW_EVERY: f64 = 0.2;
 /// A holder stops this part of the span early: its clock and the voters' may run apart by far less.
 const SAFE: f64 = 0.95;
 /// Between two bids of one gateway for a duty that nobody holds; chance spreads them so that one gets a majority.
-const BID_EVERY: f64 = 0.15;
-const BID_SPREAD: f64 = 0.3;
+const BID_EVERY: f64 = 0.1;
+const BID_SPREAD: f64 = 0.2;
 
 #[derive(Clone, Copy)]
 struct Given {
@@ -44,7 +44,7 @@
     me: Node,
     voters: Vec<Node>,
     chance: oorandom::Rand64,
-    /// Grants nothing before.
+    /// Grants no duty before that must never have two holders.
     mute_until: f64,
     given: BTreeMap<Duty, Given>,
     bidding: BTreeMap<Duty, Bidding>,
@@ -137,7 +137,7 @@
 
     pub fn hear(&mut self, now: f64, from: Node, word: &Word) -> Vec<Act> {
         match word {
-            Word::Bid(post, serial) if self.voters.contains(&self.me) && now >= self.mute_until => {
+            Word::Bid(post, serial) if self.voters.contains(&self.me) && !self.mute(now, post.duty) => {
                 self.asked(now, from, *post, *serial)
             }
             Word::Grant(post, serial) => self.granted(now, from, *post, *serial),
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Two lookouts for a moment cost a few calls; two counters would grant a quota twice.
+    fn mute(&self, now: f64, duty: Duty) -> bool {
+        duty == Duty::Tally && now < self.mute_until
+    }
+
     fn asked(&mut self, now: f64, from: Node, post: Post, serial: u64) -> Vec<Act> {
         let Post { duty, holder, term } = post;
         if holder != from {
--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -16,6 +16,8 @@
 const ATTEMPT: f64 = 0.35;
 /// Between two questions whether what is held here is the newest.
 const ASK_EVERY: f64 = 0.4;
+/// The same while nothing is confirmed: after a start the links come up one by one, and nobody can be served before.
+const ASK_AT_FIRST: f64 = 0.1;
 /// Changes waiting for their turn on one register; a further one is refused at once.
 const MOST_WAITING: usize = 64;
 
@@ -336,7 +338,9 @@
                 acts.extend(self.prepare(now, register));
             }
         }
-        if now >= self.question.at + ASK_EVERY && !self.voters.is_empty() {
+        let known = self.confirmed(Register::Chart).is_some();
+        let every = if known { ASK_EVERY } else { ASK_AT_FIRST };
+        if now >= self.question.at + every && !self.voters.is_empty() {
             acts.extend(self.ask(now));
         }
         acts
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -13,7 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
-use tally::book::{Book, silence};
+use tally::book::{Book, SILENCE};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 /// Words for this gateway itself or for others once the disk has what they stand for.
@@ -199,9 +199,7 @@
     pub fn count(&self, term: u64, adds: &[Add]) -> Option<Vec<f32>> {
         let now = self.clock.now();
         let held = self.control.borrow().tally(now).filter(|held| held.term == term)?;
-        let chart = self.chart()?;
-        let quiet = silence(chart.tenants.iter().map(|tenant| (tenant.rate, tenant.burst)));
-        if now < held.since + quiet {
+        if now < held.since + SILENCE {
             return None;
         }
         self.book.borrow_mut().add(now, term, adds)
--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -19,6 +19,8 @@
 
 /// Keys are served this much shorter than the rule allows: what was let on may still be on its way.
 const REVOKE_MARGIN: f64 = 0.7;
+/// A client refused without a count is told to come back when there may be a counter again.
+const UNCOUNTED_WAIT: f64 = 0.3;
 
 pub struct Deck {
     pub settings: Settings,
@@ -39,6 +41,8 @@
     pub keepers: RefCell<Vec<Keeper>>,
     pilots: Cell<u32>,
     pub leaving: Cell<bool>,
+    /// Does the holder of the counts answer? Where it doesn't, nobody waits for it.
+    counted: Cell<bool>,
     /// Rung when there are adds to send, or the module's wake-up is sooner than before.
     pub to_count: Notify,
     pub to_wake: Notify,
@@ -69,6 +73,7 @@
             keepers: RefCell::default(),
             pilots: Cell::new(0),
             leaving: Cell::new(false),
+            counted: Cell::new(false),
             to_count: Notify::new(),
             to_wake: Notify::new(),
             woken_at: Cell::new(f64::INFINITY),
@@ -232,11 +237,15 @@
     /// One request against its tenant's quota: the design's question first, and this gateway's share where the answer is no.
     /// `Err` is when to come back.
     pub async fn admit(&self, tenant: &Tenant, left: f64) -> Result<(), f64> {
+        if !self.counted.get() {
+            let limited = tenant.rate > 0.0;
+            return if !limited || self.share(tenant) { Ok(()) } else { Err(UNCOUNTED_WAIT) };
+        }
         let (sender, verdict) = oneshot::channel();
         let asked = {
             let mut asker = self.asker.borrow_mut();
             if !asker.has_room() {
-                return Err(0.1);
+                return Err(UNCOUNTED_WAIT);
             }
             let asked = asker.ask(self.fleet_clock(), &tenant.name, left);
             if let Some(id) = asked {
@@ -253,7 +262,7 @@
             Ok(Verdict::Granted) => Ok(()),
             Ok(Verdict::Refused(_)) if self.share(tenant) => Ok(()),
             Ok(Verdict::Refused(wait)) => Err(wait),
-            Err(_) => Err(0.1),
+            Err(_) => Err(UNCOUNTED_WAIT),
         }
     }
 
@@ -287,6 +296,13 @@
         }
     }
 
+    /// The holder of the counts answers, or does not.
+    pub fn set_counted(&self, counted: bool) {
+        if self.counted.replace(counted) != counted {
+            log::info!("{}", if counted { "the counter answers" } else { "no counter: shares alone" });
+        }
+    }
+
     pub fn adds(&self) -> Vec<Add> {
         self.asker.borrow_mut().adds()
     }
--- a/pilot/src/session.rs
+++ b/pilot/src/session.rs
@@ -128,6 +128,7 @@
 /// The connection to the holder of the counts, moved when that changes. Each frame of adds is answered by one of totals.
 pub async fn count(deck: Rc<Deck>) {
     loop {
+        deck.set_counted(false);
         let Some((node, term)) = deck.counter() else {
             fail_adds(&deck);
             pause(&deck).await;
@@ -163,10 +164,13 @@
     holder: (Node, u64),
 ) {
     /// Without any totals for so long while some are due, the connection is given up.
-    const SILENT: Duration = Duration::from_millis(1000);
+    const SILENT: Duration = Duration::from_millis(400);
+    /// Between two questions of nothing, while the holder does not count yet.
+    const PROBE_EVERY: Duration = Duration::from_millis(60);
     let (out, mut words) = split(framed, MOST_WORDS);
     let mut frames: std::collections::VecDeque<usize> = std::collections::VecDeque::new();
     let mut due = Instant::now();
+    let mut probe = Some(due);
     let lost = loop {
         if deck.counter() != Some(holder) && frames.is_empty() {
             break 0;
@@ -177,10 +181,13 @@
                     deck.heard_clock(clock);
                     due = Instant::now();
                     let Some(count) = frames.pop_front() else { break 0 };
+                    let counts = totals.is_some();
                     match totals {
                         Some(totals) if totals.len() == count => deck.totals(&totals),
                         _ => deck.uncounted(count, false),
                     }
+                    deck.set_counted(counts);
+                    probe = (!counts).then(|| Instant::now() + PROBE_EVERY);
                 }
                 _ => break frames.iter().sum(),
             },
@@ -198,6 +205,15 @@
                     break frames.iter().sum();
                 }
             }
+            _ = sleep_until(probe.unwrap_or(due)), if probe.is_some() => {
+                probe = None;
+                frames.push_back(0);
+                due = Instant::now();
+                let word = Word::Adds { term: holder.1, clock: deck.fleet_clock(), adds: Vec::new() };
+                if out.try_send(word).is_err() {
+                    break frames.iter().sum();
+                }
+            }
             _ = sleep_until(due + SILENT), if !frames.is_empty() => break frames.iter().sum(),
             _ = deck.turned.notified() => {}
         }
--- a/tally/src/book.rs
+++ b/tally/src/book.rs
@@ -10,16 +10,11 @@
 /// Between two looks for names whose life is over.
 const SWEEP_EVERY: f64 = 1.0;
 
-/// How long a new holder is silent: the predecessor's windows are forgotten, and a fresh window beside one that was
-/// used up would grant a burst twice. After as long as any burst takes to come back it was free anyway; longer ones fit
-/// into the rule's own overrun, as no more than `rate` a second was granted meanwhile.
-pub fn silence(bursts: impl Iterator<Item = (f64, f64)>) -> f64 {
-    const LEAST: f64 = 1.0;
-    const MOST: f64 = 3.0;
-    let longest =
-        bursts.filter(|(rate, _)| *rate > 0.0).map(|(rate, burst)| burst / rate).fold(LEAST, f64::max);
-    longest.min(MOST)
-}
+/// How long a new holder is silent. Its book is empty, and a fresh window beside one that was used up grants a burst twice.
+/// Data gateways that live on claim their own parts of the present windows again with their first adds; what is lost is the
+/// part of those that died as well. The predecessor's grant, which is over by then, and this make up for that: an eager
+/// tenant's burst comes back at its rate meanwhile.
+pub const SILENCE: f64 = 0.4;
 
 #[derive(Default)]
 pub struct Book {
--- a/tally/src/share.rs
+++ b/tally/src/share.rs
@@ -12,7 +12,7 @@
 
 /// Part of quotas that the counter grants. The rest is not lost: tenants that press are let on by the shares as well. Less
 /// here keeps more alive without a counter; more is fairer to tenants whose requests come through few gateways.
-pub const COUNTED: f64 = 0.85;
+pub const COUNTED: f64 = 0.72;
 /// Part of the shares' sum that is never let on: two totals on their way at once, clocks that differ, a gateway that
 /// joins and is not yet counted everywhere.
 const MARGIN: f64 = 0.12;
