Grants of duties are on disk, so that terms only grow and no voter is mute after a start

Change: a voter writes a duty's new term to disk before it grants it (renewals stay in memory), and takes the last grant for fresh after a start; its holder may bid for the next term at once, as its own life before is over. No voter needs to be mute.

--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -2,12 +2,12 @@
 //! stand to each other: the voter's disk comes before its word, what is chosen spreads by beats and pulls, sessions make
 //! members. Must never read a clock or touch a socket: `harbourmaster` does that.
 
-use crate::Act;
 use crate::duties::{Duties, Term};
 use crate::helm::{Change, Helm};
 use crate::roster::Roster;
 use crate::voter::Voter;
-use signal::{Beat, Duty, Hosts, Keeper, Node, Piece, Register, Slot, Vector, Word};
+use crate::{Act, Record};
+use signal::{Beat, Duty, Hosts, Keeper, Node, Piece, Post, Register, Slot, Vector, Word};
 use std::collections::BTreeMap;
 
 /// Between two signs of life to the other control gateways.
@@ -20,7 +20,8 @@
     pub voters: Vec<Node>,
     /// Slots from the disk; none where the disk is empty though this is not the first start.
     pub slots: Option<BTreeMap<Register, Slot>>,
-    pub first: bool,
+    /// Duties that it granted last, from the disk.
+    pub posts: Vec<Post>,
     pub seed: u64,
 }
 
@@ -39,14 +40,14 @@
 
 impl Control {
     pub fn new(now: f64, start: Start) -> Control {
-        let Start { keeper, voters, slots, first, seed } = start;
+        let Start { keeper, voters, slots, posts, seed } = start;
         let me = keeper.node;
         let mut control = Control {
             me,
             voters: Vec::new(),
             voter: Voter::new(now, me, slots),
             helm: Helm::new(me, seed),
-            duties: Duties::new(now, me, !seed, first),
+            duties: Duties::new(now, me, !seed, &posts),
             roster: Roster::new(keeper, seed),
             hosts: Hosts::default(),
             ahead: 0.0,
@@ -229,20 +230,33 @@
                 pieces => vec![Act::Send(from, Word::News(pieces))],
             },
             Word::News(pieces) => self.take(now, pieces),
+            // Who has forgotten its grants grants nothing.
+            Word::Bid(..) if !self.voter.whole() => Vec::new(),
             Word::Bid(..) | Word::Grant(..) | Word::Deny(_) | Word::Yield(..) => {
                 self.duties.hear(now, from, &word)
             }
+            Word::Recall(serial) if self.voter.whole() && self.voters.contains(&self.me) => {
+                let word = Word::Recalled(serial, self.voter.slots(), self.duties.granted_posts());
+                vec![Act::Store(Record::default(), vec![(from, word)])]
+            }
+            Word::Recall(_) => Vec::new(),
+            Word::Recalled(_, _, ref posts) => {
+                posts.iter().for_each(|&post| self.duties.recall(now, post));
+                let mut acts = self.voter.hear(from, &word);
+                if !acts.is_empty() {
+                    let posts = self.duties.granted_posts();
+                    acts.push(Act::Store(Record { slots: Vec::new(), posts }, Vec::new()));
+                }
+                acts
+            }
             Word::Promise(..)
             | Word::Accepted(..)
             | Word::Refuse(..)
             | Word::Answer(..)
             | Word::Fetched(..) => self.helm.hear(now, from, &word),
-            Word::Prepare(..)
-            | Word::Accept(..)
-            | Word::Ask(_)
-            | Word::Fetch(_)
-            | Word::Recall(_)
-            | Word::Recalled(..) => self.voter.hear(from, &word),
+            Word::Prepare(..) | Word::Accept(..) | Word::Ask(_) | Word::Fetch(_) => {
+                self.voter.hear(from, &word)
+            }
             Word::Hail { .. } | Word::Adds { .. } | Word::Totals { .. } => Vec::new(),
         }
     }
--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -1,9 +1,10 @@
 //! Duties that one control gateway does for all: who holds which, and until when. A majority of the voters grants a term
 //! for a span; the holder renews it in time, names its successor when it leaves, and stops by its own clock before the
-//! voters' grants end. Grants are in memory alone: a voter that started anew grants nothing until any grant that it may
-//! have forgotten is over. Must never let two gateways hold one duty at a moment.
+//! voters' grants end. A new term is on a voter's disk before it is granted, renewals are not: a voter that started anew
+//! takes the last grant for fresh, and so knows who alone may still rely on it. Terms only ever grow. Must never let two
+//! gateways hold one duty at a moment.
 
-use crate::{Act, majority};
+use crate::{Act, Record, majority};
 use signal::{DUTIES, Duty, Node, Post, Word};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -44,8 +45,6 @@
     me: Node,
     voters: Vec<Node>,
     chance: oorandom::Rand64,
-    /// Grants no duty before that must never have two holders.
-    mute_until: f64,
     given: BTreeMap<Duty, Given>,
     bidding: BTreeMap<Duty, Bidding>,
     held: BTreeMap<Duty, Term>,
@@ -57,13 +56,12 @@
 }
 
 impl Duties {
-    /// `first`: the whole system's first start, before which nothing can have been granted.
-    pub fn new(now: f64, me: Node, seed: u64, first: bool) -> Duties {
-        Duties {
+    /// `posts`: what this gateway granted last in its life before, from its disk.
+    pub fn new(now: f64, me: Node, seed: u64, posts: &[Post]) -> Duties {
+        let mut duties = Duties {
             me,
             voters: Vec::new(),
             chance: oorandom::Rand64::new(u128::from(seed)),
-            mute_until: if first { now } else { now + SPAN },
             given: BTreeMap::new(),
             bidding: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -71,9 +69,28 @@
             try_at: BTreeMap::new(),
             serial: 0,
             leaving: false,
+        };
+        posts.iter().for_each(|&post| duties.recall(now, post));
+        duties
+    }
+
+    /// A grant from before this life, or one that others tell of: it may still last its whole span.
+    pub fn recall(&mut self, now: f64, post: Post) {
+        let Post { duty, holder, term } = post;
+        if self.given.get(&duty).is_none_or(|given| given.term < term) {
+            self.given.insert(duty, Given { holder, term, until: now + SPAN });
+            // What it held itself is over with the life before: nobody else may have it sooner.
+            if holder == self.me {
+                self.try_at.insert(duty, now);
+            }
         }
     }
 
+    /// The last grant of each duty.
+    pub fn granted_posts(&self) -> Vec<Post> {
+        self.given.iter().map(|(&duty, g)| Post { duty, holder: g.holder, term: g.term }).collect()
+    }
+
     pub fn set_voters(&mut self, voters: &[Node]) {
         self.voters = voters.to_vec();
     }
@@ -137,7 +154,7 @@
 
     pub fn hear(&mut self, now: f64, from: Node, word: &Word) -> Vec<Act> {
         match word {
-            Word::Bid(post, serial) if self.voters.contains(&self.me) && !self.mute(now, post.duty) => {
+            Word::Bid(post, serial) if self.voters.contains(&self.me) => {
                 self.asked(now, from, *post, *serial)
             }
             Word::Grant(post, serial) => self.granted(now, from, *post, *serial),
@@ -150,23 +167,23 @@
         }
     }
 
-    /// Two lookouts for a moment cost a few calls; two counters would grant a quota twice.
-    fn mute(&self, now: f64, duty: Duty) -> bool {
-        duty == Duty::Tally && now < self.mute_until
-    }
-
     fn asked(&mut self, now: f64, from: Node, post: Post, serial: u64) -> Vec<Act> {
         let Post { duty, holder, term } = post;
         if holder != from {
             return Vec::new();
         }
         let before = self.given.get(&duty).copied();
-        // Another's grant is waited out; a new term is above all terms before it.
-        let free =
-            before.is_none_or(|g| (g.holder == from && g.term == term) || (now >= g.until && term > g.term));
-        if free {
+        // Another's grant is waited out; a new term is above all terms before it. Who bids for a new term of its own has
+        // given up the one before, or has lost it with its life.
+        let renewed = before.is_some_and(|g| g.holder == from && g.term == term);
+        let free = before.is_none_or(|g| term > g.term && (g.holder == from || now >= g.until));
+        if renewed || free {
             self.given.insert(duty, Given { holder, term, until: now + SPAN });
-            return vec![Act::Send(from, Word::Grant(post, serial))];
+            let grant = Word::Grant(post, serial);
+            if renewed {
+                return vec![Act::Send(from, grant)];
+            }
+            return vec![Act::Store(Record { slots: Vec::new(), posts: vec![post] }, vec![(from, grant)])];
         }
         let Some(Given { holder, term, .. }) = before else { return Vec::new() };
         vec![Act::Send(from, Word::Deny(Post { duty, holder, term }))]
--- a/harbour/src/voter.rs
+++ b/harbour/src/voter.rs
@@ -2,7 +2,7 @@
 //! hears of it. A voter whose disk is gone has forgotten its promises: it is silent until it has read what a majority of
 //! the set holds beside itself. Must never answer from what is not on disk.
 
-use crate::{Act, majority};
+use crate::{Act, Record, majority};
 use signal::{Ballot, Node, REGISTERS, Register, Slot, Word};
 use std::collections::BTreeMap;
 
@@ -59,17 +59,18 @@
     }
 
     fn store(&self, register: Register, to: Node, word: Word) -> Vec<Act> {
-        vec![Act::Store(vec![(register, self.slots[&register].clone())], vec![(to, word)])]
+        let record = Record { slots: vec![(register, self.slots[&register].clone())], posts: Vec::new() };
+        vec![Act::Store(record, vec![(to, word)])]
     }
 
     /// What it holds, said only after all that was written before is on disk.
     fn after_disk(to: Node, word: Word) -> Vec<Act> {
-        vec![Act::Store(Vec::new(), vec![(to, word)])]
+        vec![Act::Store(Record::default(), vec![(to, word)])]
     }
 
     pub fn hear(&mut self, from: Node, word: &Word) -> Vec<Act> {
         match word {
-            Word::Recalled(serial, slots) => self.recalled(from, *serial, slots),
+            Word::Recalled(serial, slots, _) => self.recalled(from, *serial, slots),
             _ if !self.votes() => Vec::new(),
             Word::Prepare(register, ballot) => {
                 let slot = self.slots.entry(*register).or_default();
@@ -100,10 +101,6 @@
                 Some(held) => Self::after_disk(from, Word::Fetched(*register, held)),
                 None => Vec::new(),
             },
-            Word::Recall(serial) => {
-                let slots = self.slots.iter().map(|(r, s)| (*r, s.clone())).collect();
-                Self::after_disk(from, Word::Recalled(*serial, slots))
-            }
             _ => Vec::new(),
         }
     }
@@ -126,6 +123,11 @@
             }
         }
         self.memory = Memory::Whole;
-        vec![Act::Store(self.slots.iter().map(|(r, s)| (*r, s.clone())).collect(), Vec::new())]
+        vec![Act::Store(Record { slots: self.slots(), posts: Vec::new() }, Vec::new())]
+    }
+
+    /// All that it has promised and accepted.
+    pub fn slots(&self) -> Vec<(Register, Slot)> {
+        self.slots.iter().map(|(register, slot)| (*register, slot.clone())).collect()
     }
 }
--- a/harbourmaster/src/main.rs
+++ b/harbourmaster/src/main.rs
@@ -113,7 +113,7 @@
         // The seeds are the same three everywhere at the very first start, and only then.
         voters: if remembers || !settings.first_start { state.voters } else { seeds },
         slots: (remembers || settings.first_start).then_some(state.slots),
-        first: settings.first_start && !remembers,
+        posts: state.posts.into_values().collect(),
         seed: mooring::chance(),
     };
     Ok((Control::new(clock.now(), start), logbook))
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use chart::{Chart, Settings};
-use harbour::Act;
 use harbour::control::Control;
 use harbour::helm::Change;
+use harbour::{Act, Record};
 use logbook::{Entered, Logbook};
 use mooring::{Clock, Out};
 use signal::{Add, Node, Register, Word};
@@ -90,7 +90,9 @@
                     acts.extend(self.control.borrow_mut().hear(now, self.me, word));
                 }
                 Act::Send(to, word) => self.send(to, word),
-                Act::Store(slots, then) => self.store(Entered { voters: None, slots }, then),
+                Act::Store(Record { slots, posts }, then) => {
+                    self.store(Entered { voters: None, slots, posts }, then);
+                }
                 Act::Learned(register) => {
                     self.learned(register);
                     acts.extend(self.control.borrow_mut().beat_all(now));
@@ -111,7 +113,10 @@
         let control = self.control.borrow();
         if !self.voters_kept.get() && control.voter.whole() && !control.voters().is_empty() {
             self.voters_kept.set(true);
-            self.store(Entered { voters: Some(control.voters().to_vec()), slots: Vec::new() }, Vec::new());
+            self.store(
+                Entered { voters: Some(control.voters().to_vec()), slots: Vec::new(), posts: Vec::new() },
+                Vec::new(),
+            );
         }
     }
 
--- a/logbook/src/lib.rs
+++ b/logbook/src/lib.rs
@@ -6,7 +6,7 @@
 use error_stack::{Report, ResultExt};
 use okaywal::{Configuration, Entry, EntryId, LogManager, SegmentReader, WriteAheadLog};
 use serde::{Deserialize, Serialize};
-use signal::{Node, Register, Slot};
+use signal::{Duty, Node, Post, Register, Slot};
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -51,6 +51,8 @@
 pub struct State {
     pub voters: Vec<Node>,
     pub slots: BTreeMap<Register, Slot>,
+    /// The last grant of each duty.
+    pub posts: BTreeMap<Duty, Post>,
 }
 
 /// What is added: nothing named stays as it was.
@@ -58,6 +60,7 @@
 pub struct Entered {
     pub voters: Option<Vec<Node>>,
     pub slots: Vec<(Register, Slot)>,
+    pub posts: Vec<Post>,
 }
 
 impl State {
@@ -66,6 +69,7 @@
             self.voters = voters;
         }
         self.slots.extend(entered.slots);
+        self.posts.extend(entered.posts.into_iter().map(|post| (post.duty, post)));
     }
 }
 
@@ -166,8 +170,9 @@
                 all.slots.retain(|(r, _)| r != register);
                 all.slots.push((*register, slot.clone()));
             }
+            all.posts.extend(&job.entered.posts);
         }
-        if all.voters.is_some() || !all.slots.is_empty() {
+        if all.voters.is_some() || !all.slots.is_empty() || !all.posts.is_empty() {
             // Before the commit: a checkpoint may run the moment that it is in the log.
             locked(state).enter(all.clone());
             while !write(&mut log, &all) {
@@ -237,9 +242,12 @@
         let folder = folder("again");
         let (book, found) = Logbook::open(&folder).unwrap();
         assert_eq!(found, State::default());
-        enter(&book, Entered { voters: Some(vec![1, 2, 3]), slots: Vec::new() });
+        enter(&book, Entered { voters: Some(vec![1, 2, 3]), slots: Vec::new(), posts: Vec::new() });
         for round in 1..400 {
-            enter(&book, Entered { voters: None, slots: vec![(Register::Chart, slot(round))] });
+            enter(
+                &book,
+                Entered { voters: None, slots: vec![(Register::Chart, slot(round))], posts: Vec::new() },
+            );
         }
         drop(book);
         let (_, found) = Logbook::open(&folder).unwrap();
@@ -255,9 +263,12 @@
     fn a_log_cut_anywhere_gives_back_an_earlier_state() {
         let whole = folder("whole");
         let (book, _) = Logbook::open(&whole).unwrap();
-        enter(&book, Entered { voters: Some(vec![1, 2, 3]), slots: Vec::new() });
+        enter(&book, Entered { voters: Some(vec![1, 2, 3]), slots: Vec::new(), posts: Vec::new() });
         for round in 1..4 {
-            enter(&book, Entered { voters: None, slots: vec![(Register::Chart, slot(round))] });
+            enter(
+                &book,
+                Entered { voters: None, slots: vec![(Register::Chart, slot(round))], posts: Vec::new() },
+            );
         }
         let log = fs::read_dir(whole.join(LOG)).unwrap().next().unwrap().unwrap().path();
         let bytes = fs::read(&log).unwrap();
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -175,7 +175,7 @@
     Fetched(Register, Held),
     /// A voter that lost its disk asks for what the others hold.
     Recall(u64),
-    Recalled(u64, Vec<(Register, Slot)>),
+    Recalled(u64, Vec<(Register, Slot)>, Vec<Post>),
     /// With a number that tells one bid of a term from the next.
     Bid(Post, u64),
     Grant(Post, u64),
