A bid for a duty that lost gives its grants back; a refusal names no holder

Without those refusals the voters granted themselves anew before their own grant ended, for ever: no counter after a loss of power (RECOVER broken).

--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -14,9 +14,13 @@
 const RENEW_EVERY: f64 = 0.2;
 /// A holder stops this part of the span early: its clock and the voters' may run apart by far less.
 const SAFE: f64 = 0.95;
-/// Between two bids of one gateway for a duty that nobody holds; chance spreads them so that one gets a majority.
-const BID_EVERY: f64 = 0.1;
-const BID_SPREAD: f64 = 0.2;
+/// A bid that has no majority by then has lost: two ways between the widest pair of regions and a slow sync fit in.
+const BID_LASTS: f64 = 0.12;
+/// The wait before the next bid of one gateway for a duty that nobody holds; chance spreads them so that one wins.
+const BID_SPREAD: f64 = 0.25;
+
+/// No node has this number; a grant given back names no successor.
+const NOBODY: Node = 0;
 
 #[derive(Clone, Copy)]
 struct Given {
@@ -27,6 +31,7 @@
 
 #[derive(Default)]
 struct Bidding {
+    term: u64,
     /// A grant counts for the very bid that it answers: a late one of an earlier bid ends sooner.
     serial: u64,
     at: f64,
@@ -50,6 +55,8 @@
     held: BTreeMap<Duty, Term>,
     /// Who was last heard to hold it, and when.
     known: BTreeMap<Duty, (Post, f64)>,
+    /// The greatest term that anybody granted, as far as known.
+    seen: BTreeMap<Duty, u64>,
     try_at: BTreeMap<Duty, f64>,
     serial: u64,
     leaving: bool,
@@ -66,6 +73,7 @@
             bidding: BTreeMap::new(),
             held: BTreeMap::new(),
             known: BTreeMap::new(),
+            seen: BTreeMap::new(),
             try_at: BTreeMap::new(),
             serial: 0,
             leaving: false,
@@ -106,7 +114,7 @@
         DUTIES.into_iter().filter_map(|duty| own(duty).or(self.known.get(&duty).map(|k| k.0))).collect()
     }
 
-    /// Word of who holds a duty; `from` the holder itself it is a sign of life.
+    /// Word of who holds a duty, from a majority's grant; `from` the holder itself it is a sign of life.
     pub fn told(&mut self, now: f64, from: Node, post: Post) {
         let known = self.known.get(&post.duty);
         if known.is_none_or(|(k, _)| k.term < post.term || (k.term == post.term && from == post.holder)) {
@@ -116,17 +124,26 @@
 
     fn next_term(&self, duty: Duty) -> u64 {
         let given = self.given.get(&duty).map_or(0, |g| g.term);
-        given.max(self.known.get(&duty).map_or(0, |(k, _)| k.term)) + 1
+        given
+            .max(self.seen.get(&duty).copied().unwrap_or(0))
+            .max(self.known.get(&duty).map_or(0, |(k, _)| k.term))
+            + 1
     }
 
     fn bid(&mut self, now: f64, duty: Duty, term: u64) -> Vec<Act> {
         self.serial += 1;
         let serial = self.serial;
-        self.bidding.insert(duty, Bidding { serial, at: now, yes: BTreeSet::new() });
+        self.bidding.insert(duty, Bidding { term, serial, at: now, yes: BTreeSet::new() });
         let post = Post { duty, holder: self.me, term };
         self.voters.iter().map(|&node| Act::Send(node, Word::Bid(post, serial))).collect()
     }
 
+    fn give_back(&mut self, duty: Duty) -> Vec<Act> {
+        let Some(Bidding { term, yes, .. }) = self.bidding.remove(&duty) else { return Vec::new() };
+        let post = Post { duty, holder: self.me, term };
+        yes.into_iter().map(|node| Act::Send(node, Word::Yield(post, NOBODY))).collect()
+    }
+
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = Vec::new();
         if self.leaving || self.voters.is_empty() {
@@ -139,13 +156,17 @@
                 }
                 continue;
             }
+            // Who has not won gives back what was granted: each voter granting itself again and again, none would win.
+            if self.bidding.get(&duty).is_some_and(|b| now >= b.at + BID_LASTS) {
+                acts.extend(self.give_back(duty));
+                self.try_at.insert(duty, now + BID_SPREAD * self.chance.rand_float());
+            }
             // A holder that was heard of lately is left alone.
             let alive = |(k, at): &(Post, f64)| k.holder != self.me && now < at + SPAN;
             let try_at = *self.try_at.entry(duty).or_insert(now + BID_SPREAD * self.chance.rand_float());
-            if self.known.get(&duty).is_some_and(alive) || now < try_at {
+            if self.known.get(&duty).is_some_and(alive) || now < try_at || self.bidding.contains_key(&duty) {
                 continue;
             }
-            self.try_at.insert(duty, now + BID_EVERY + BID_SPREAD * self.chance.rand_float());
             let term = self.next_term(duty);
             acts.extend(self.bid(now, duty, term));
         }
@@ -158,8 +179,10 @@
                 self.asked(now, from, *post, *serial)
             }
             Word::Grant(post, serial) => self.granted(now, from, *post, *serial),
+            // What one voter granted is no word of a holder: it may have lost. Only its term counts, to bid above it.
             Word::Deny(post) => {
-                self.told(now, from, *post);
+                let seen = self.seen.entry(post.duty).or_default();
+                *seen = post.term.max(*seen);
                 Vec::new()
             }
             Word::Yield(post, successor) => self.yielded(now, from, *post, *successor),
@@ -238,9 +261,12 @@
         if known {
             self.known.remove(&post.duty);
         }
+        if successor == NOBODY {
+            return Vec::new();
+        }
         if successor != self.me {
             // Time for the one that was named.
-            self.try_at.insert(post.duty, now + BID_SPREAD);
+            self.try_at.insert(post.duty, now + BID_LASTS + BID_SPREAD * self.chance.rand_float());
             return Vec::new();
         }
         self.bid(now, post.duty, post.term + 1)
