What would come late where hosts are full is turned away at once

Others' requests at a host were forgotten within half a second, though a gateway hears of a host twice a second: expected times were half of those taken.

Change: others' requests are believed for 3 s and followed faster; a fresh request is let in where its answer is expected within 0.6 of the goal time, one that came back within 0.9.

--- a/berth/src/choice.rs
+++ b/berth/src/choice.rs
@@ -12,9 +12,9 @@
 /// How far one answer moves what is known of a host's work and of the others' requests there: a few tens of answers show
 /// a host's speed beside work that varies by itself, a few show who else is there.
 const WORK_STEP: f64 = 0.06;
-const OTHERS_STEP: f64 = 0.3;
+const OTHERS_STEP: f64 = 0.5;
 /// What others have out is believed for about this long without news.
-const OTHERS_LAST: f64 = 0.5;
+const OTHERS_LAST: f64 = 3.0;
 /// Ways in parts of the goal time: bytes between zones are dear, and between regions far dearer.
 const TO_ZONE: f64 = 0.04;
 const TO_REGION: f64 = 0.3;
--- a/pilot/src/request.rs
+++ b/pilot/src/request.rs
@@ -79,6 +79,16 @@
     }
 }
 
+/// How long an answer may be expected to take for a request to be let in at all. Where hosts are full, one that would come
+/// late keeps the next one late as well; turned away at once, its client may come back to a host that has room, in time. One
+/// that has come back is let in more easily: it has lost time already, and a second refusal costs more than the first.
+fn patience(route: &Route, told: f64) -> f64 {
+    const FRESH: f64 = 0.6;
+    const AGAIN: f64 = 0.9;
+    let fresh = told >= route.timeout * 0.97;
+    route.goal * if fresh { FRESH } else { AGAIN }
+}
+
 /// One of a route's services by their weights, first, and the others after it.
 fn services(route: &Route) -> Vec<&str> {
     let sum: f64 = route.shares.iter().map(|share| share.weight).sum();
@@ -124,6 +134,7 @@
         homes: homes(asked.route, asked.tenant),
         services: services(asked.route),
         goal: asked.route.goal,
+        within: patience(asked.route, told),
         until: began + left,
         tried: Vec::new(),
     };
@@ -160,6 +171,8 @@
     homes: Option<Vec<String>>,
     services: Vec<&'a str>,
     goal: f64,
+    /// Longest that its answer may be expected to take.
+    within: f64,
     until: f64,
     tried: Vec<u64>,
 }
@@ -171,7 +184,13 @@
         let now = self.deck.clock.now();
         let mut berth = self.deck.berth.borrow_mut();
         self.services.iter().find_map(|service| {
-            let need = Need { service, homes, goal: self.goal, left: self.until - now, tried: &self.tried };
+            let need = Need {
+                service,
+                homes,
+                goal: self.goal,
+                left: self.within.min(self.until - now),
+                tried: &self.tried,
+            };
             berth.choose(now, &need).map(|chosen| (chosen, *service))
         })
     }
