--- a/tests/all/cases.rs
+++ b/tests/all/cases.rs
@@ -2,7 +2,8 @@
 
 use crate::world::{Answer, HOST, World, line, terms};
 use archlink::interface::*;
-use archlink::logic::{Gateway, tiers};
+use archlink::logic::Gateway;
+use archlink::quota::{Tier, tiers};
 use quickcheck::{Gen, QuickCheck, TestResult};
 
 /// One lane of pure inquiries, one plan: 5 units a second, 40 at once.
@@ -35,7 +36,7 @@
             .iter()
             .map(|t| t.limit * (1.0 + (t.active / t.window).min(1.0) * f64::from(t.cooldown > 0.0)))
             .sum();
-        let pace = |t: &archlink::logic::Tier| match t.cooldown > 0.0 {
+        let pace = |t: &Tier| match t.cooldown > 0.0 {
             true => t.limit * (1.0 + t.active / t.window) / (t.active + t.cooldown),
             false => t.limit / t.window,
         };
