--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -76,12 +76,14 @@
     String::from_utf8_lossy(value).lines().map(str::to_string).collect()
 }
 
+#[derive(Clone, Debug)]
 struct Wish {
     change: Change,
     token: Option<u64>,
     until: f64,
 }
 
+#[derive(Clone, Debug)]
 enum Phase {
     Waiting { from: f64 },
     Preparing(BTreeMap<Node, Option<Held>>),
@@ -89,6 +91,7 @@
 }
 
 /// The change at work on a register.
+#[derive(Clone, Debug)]
 struct Work {
     wish: Wish,
     ballot: Ballot,
@@ -96,7 +99,7 @@
     phase: Phase,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct Question {
     serial: u64,
     at: f64,
@@ -105,6 +108,7 @@
     split: BTreeMap<Register, u32>,
 }
 
+#[derive(Clone, Debug)]
 pub struct Helm {
     me: Node,
     voters: Vec<Node>,
--- a/harbour/src/voter.rs
+++ b/harbour/src/voter.rs
@@ -11,11 +11,13 @@
 const FORGET: f64 = 2.5;
 const RECALL_EVERY: f64 = 0.25;
 
+#[derive(Clone, Debug)]
 enum Memory {
     Whole,
     Forgotten { since: f64, asked: f64, serial: u64, told: BTreeMap<Node, Vec<(Register, Slot)>> },
 }
 
+#[derive(Clone, Debug)]
 pub struct Voter {
     me: Node,
     voters: Vec<Node>,
--- /dev/null
+++ b/harbour/tests/model.rs
@@ -0,0 +1,218 @@
+//! All interleavings of a small instance: three voters, two writers under one number, one emptied disk, one time-out after
+//! which everything late may still arrive. The states are those of the very voter and writer; only the network is made up:
+//! any message on its way may come next, or never. Must find the planted fault: a voter with an emptied disk that is counted.
+
+use harbour::helm::{Change, Helm};
+use harbour::voter::Voter;
+use harbour::{Act, Record};
+use signal::{Ballot, Node, Register, Slot, Word};
+use stateright::{Checker, Model, Property};
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+
+const VOTERS: [Node; 3] = [1, 2, 3];
+/// Later than any attempt lives, and than an emptied voter waits.
+const LATER: f64 = 5.0;
+
+#[derive(Clone, Debug)]
+struct State {
+    now: f64,
+    voters: BTreeMap<Node, Voter>,
+    helms: BTreeMap<Node, Helm>,
+    disks: BTreeMap<Node, BTreeMap<Register, Slot>>,
+    way: Vec<(Node, Node, Word)>,
+    wiped: bool,
+    later: bool,
+    proposed: u32,
+    /// Which voters ever accepted what: a ballot that a majority has accepted is chosen.
+    accepted: BTreeMap<Ballot, (u64, Vec<u8>, BTreeSet<Node>)>,
+}
+
+impl State {
+    fn text(&self) -> String {
+        format!("{self:?}")
+    }
+}
+
+impl PartialEq for State {
+    fn eq(&self, other: &State) -> bool {
+        self.text() == other.text()
+    }
+}
+
+impl Eq for State {}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.text().hash(state);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Action {
+    Deliver(usize),
+    Propose,
+    Wipe,
+    Later,
+}
+
+struct Small {
+    /// The planted fault: an emptied voter takes itself for whole.
+    forgetful: bool,
+}
+
+impl State {
+    fn act(&mut self, node: Node, acts: Vec<Act>) {
+        for act in acts {
+            match act {
+                Act::Send(to, word) => self.way.push((node, to, word)),
+                Act::Store(Record { slots, .. }, then) => {
+                    for (register, slot) in slots {
+                        if let Some(held) = &slot.held {
+                            let fresh = (held.stamp, held.value.to_vec(), BTreeSet::new());
+                            self.accepted.entry(held.ballot).or_insert(fresh).2.insert(node);
+                        }
+                        self.disks.entry(node).or_default().insert(register, slot);
+                    }
+                    self.way.extend(then.into_iter().map(|(to, word)| (node, to, word)));
+                }
+                Act::Learned(_) | Act::Done(..) => {}
+            }
+        }
+        // Which of two is on its way first makes no difference here.
+        self.way.sort_by_cached_key(|word| format!("{word:?}"));
+    }
+
+    fn deliver(&mut self, n: usize) {
+        let (from, to, word) = self.way.remove(n);
+        let now = self.now;
+        let acts = match &word {
+            Word::Promise(..) | Word::Accepted(..) | Word::Refuse(..) => match self.helms.get_mut(&to) {
+                Some(helm) => helm.hear(now, from, &word),
+                None => Vec::new(),
+            },
+            Word::Recall(serial) if self.voters[&to].whole() => {
+                let slots = self.voters[&to].slots();
+                vec![Act::Store(Record::default(), vec![(from, Word::Recalled(*serial, slots, Vec::new()))])]
+            }
+            _ => self.voters.get_mut(&to).map_or(Vec::new(), |voter| voter.hear(from, &word)),
+        };
+        self.act(to, acts);
+    }
+
+    fn chosen(&self) -> Vec<(&Ballot, u64, &[u8])> {
+        let all = self.accepted.iter().filter(|(_, (_, _, who))| who.len() > VOTERS.len() / 2);
+        all.map(|(ballot, (stamp, value, _))| (ballot, *stamp, value.as_slice())).collect()
+    }
+
+    fn one_line(&self) -> bool {
+        self.chosen()
+            .windows(2)
+            .all(|two| two[0].1 < two[1].1 || (two[0].1 == two[1].1 && two[0].2 == two[1].2))
+    }
+}
+
+impl Model for Small {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        let voter = |node: &Node| {
+            let mut voter = Voter::new(0.0, *node, Some(BTreeMap::new()));
+            voter.set_voters(&VOTERS);
+            (*node, voter)
+        };
+        let helm = |node: &Node| {
+            let mut helm = Helm::new(*node, u64::from(*node));
+            helm.set_voters(&VOTERS);
+            (*node, helm)
+        };
+        vec![State {
+            now: 0.0,
+            voters: VOTERS.iter().map(voter).collect(),
+            helms: VOTERS[..2].iter().map(helm).collect(),
+            disks: BTreeMap::new(),
+            way: Vec::new(),
+            wiped: false,
+            later: false,
+            proposed: 0,
+            accepted: BTreeMap::new(),
+        }]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        actions.extend((0..state.way.len()).map(Action::Deliver));
+        if state.proposed < 2 {
+            actions.push(Action::Propose);
+        }
+        // An emptied disk once something was acknowledged, as that is what it could undo.
+        if !state.wiped && !state.chosen().is_empty() {
+            actions.push(Action::Wipe);
+        }
+        if state.wiped && !state.later {
+            actions.push(Action::Later);
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        match action {
+            Action::Deliver(n) => state.deliver(n),
+            Action::Propose => {
+                state.proposed += 1;
+                let node = state.proposed;
+                let text = format!("by {node}").into();
+                let change = Change::Chart { version: 7, text };
+                let now = state.now;
+                let acts = state.helms.get_mut(&node)?.propose(now, change, u64::from(node));
+                state.act(node, acts);
+            }
+            Action::Wipe => {
+                state.wiped = true;
+                state.disks.remove(&1);
+                let mut voter = Voter::new(state.now, 1, self.forgetful.then(BTreeMap::new));
+                voter.set_voters(&VOTERS);
+                state.voters.insert(1, voter);
+            }
+            Action::Later => {
+                state.later = true;
+                state.now += LATER;
+                let now = state.now;
+                let acts = state.voters.get_mut(&1)?.tick(now);
+                state.act(1, acts);
+            }
+        }
+        Some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("chosen values form one line", |_, state: &State| state.one_line()),
+            Property::sometimes("something is chosen", |_, state: &State| !state.chosen().is_empty()),
+            Property::sometimes("an emptied voter is whole again", |_, state: &State| {
+                state.later && state.voters[&1].whole()
+            }),
+        ]
+    }
+}
+
+/// States looked at: all of them up to a depth that holds both writers' attempts and an emptied voter's return.
+const MOST_STATES: usize = 120_000;
+
+#[test]
+fn no_interleaving_loses_what_is_chosen() {
+    let small = Small { forgetful: false };
+    let checked = small.checker().threads(4).target_state_count(MOST_STATES).spawn_bfs().join();
+    checked.assert_no_discovery("chosen values form one line");
+    checked.assert_any_discovery("something is chosen");
+    let deep =
+        Small { forgetful: false }.checker().threads(4).target_state_count(MOST_STATES).spawn_dfs().join();
+    deep.assert_no_discovery("chosen values form one line");
+    deep.assert_any_discovery("an emptied voter is whole again");
+}
+
+#[test]
+fn the_planted_fault_is_found() {
+    let checked = Small { forgetful: true }.checker().threads(4).spawn_dfs().join();
+    checked.assert_any_discovery("chosen values form one line");
+}
--- a/harbourmaster/src/main.rs
+++ b/harbourmaster/src/main.rs
@@ -1,174 +1,28 @@
 //! archlink-harbourmaster: the control plane's program, and the operators' command line to it. Owns the command line and
-//! the order of start and end. Must never take part in a decision.
+//! the signals. Must never take part in a decision.
 #![forbid(unsafe_code)]
 
-mod desk;
-mod links;
-mod lookout;
-mod office;
-mod port;
-
-use chart::Settings;
+use archlink_harbourmaster::{MasterError, Outcome, desk, read_settings, serve};
 use clap::{Arg, ArgMatches, Command};
-use error_stack::{Report, ResultExt};
-use harbour::control::{Control, Start};
-use logbook::Logbook;
-use mooring::Clock;
-use port::Port;
-use signal::Keeper;
-use std::fmt;
-use std::net::{SocketAddr, SocketAddrV4};
-use std::path::PathBuf;
-use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpListener;
+use error_stack::ResultExt;
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
-use tokio::task::spawn_local;
-use tokio::time::sleep;
-
-/// The core's ticks: far shorter than anything it waits for.
-const TICK: Duration = Duration::from_millis(50);
-/// After SIGTERM: time for successors to be named and answers to leave.
-const LEAVE: Duration = Duration::from_millis(500);
-
-/// Why the program does not start, or a command does not come through.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum MasterError {
-    /// The settings file can't be read or is wrong.
-    Settings,
-    /// The data folder can't be used.
-    Disk,
-    /// An address can't be listened on, or the system refuses what a server needs.
-    Start,
-    /// A command's file can't be read, or is no configuration.
-    File,
-    /// No control gateway was reached, or it refused.
-    Call,
-}
-
-impl fmt::Display for MasterError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            MasterError::Settings => "the settings file can't be used",
-            MasterError::Disk => "the data folder can't be used",
-            MasterError::Start => "the control gateway can't start",
-            MasterError::File => "the file can't be used",
-            MasterError::Call => "the call did not come through",
-        })
-    }
-}
-
-impl std::error::Error for MasterError {}
-
-type Outcome<T> = Result<T, Report<MasterError>>;
-
-fn settings_path() -> PathBuf {
-    std::env::var_os("ARCHLINK_CONFIG").map_or_else(|| "/etc/archlink/settings.json".into(), PathBuf::from)
-}
-
-fn read_settings() -> Outcome<Settings> {
-    let path = settings_path();
-    let text = std::fs::read_to_string(&path)
-        .change_context(MasterError::Settings)
-        .attach_with(|| path.display().to_string())?;
-    Settings::read(&text).change_context(MasterError::Settings)
-}
 
-async fn bind(address: Option<SocketAddr>, key: &'static str) -> Outcome<TcpListener> {
-    let address =
-        address.ok_or_else(|| Report::new(MasterError::Settings).attach(format!("{key}: missing")))?;
-    TcpListener::bind(address)
-        .await
-        .change_context(MasterError::Start)
-        .attach_with(|| format!("{key}: {address}"))
-}
-
-/// What the disk says of this gateway's past: the voters and slots that it had, if any of it is left.
-fn begin(settings: &Settings, clock: Clock) -> Outcome<(Control, Option<Logbook>)> {
-    let control = settings
-        .control
-        .ok_or_else(|| Report::new(MasterError::Settings).attach("Listen.Control: missing"))?;
-    let me = mooring::node_of(settings.ip);
-    let mut seeds: Vec<u32> = settings.seeds.iter().map(|seed| mooring::node_of(*seed.ip())).collect();
-    seeds.sort_unstable();
-    let (logbook, state) = match &settings.data {
-        Some(folder) => Logbook::open(folder)
-            .change_context(MasterError::Disk)
-            .map(|(book, state)| (Some(book), state))?,
-        None => (None, logbook::State::default()),
-    };
-    let remembers = !state.voters.is_empty();
-    if !remembers && !settings.first_start {
-        log::warn!("the disk is empty: silent as a voter until a majority has told what it holds");
-    }
-    let start = Start {
-        keeper: Keeper {
-            node: me,
-            zone: settings.zone.clone(),
-            region: settings.region.clone(),
-            control: SocketAddrV4::new(settings.ip, control.port()),
-        },
-        // The seeds are the same three everywhere at the very first start, and only then.
-        voters: if remembers || !settings.first_start { state.voters } else { seeds },
-        slots: (remembers || settings.first_start).then_some(state.slots),
-        posts: state.posts.into_values().collect(),
-        seed: mooring::chance(),
-    };
-    Ok((Control::new(clock.now(), start), logbook))
-}
-
-async fn run(settings: Settings) -> Outcome<()> {
-    let clock = Clock::start();
-    let (control, logbook) = begin(&settings, clock)?;
-    let (kept, mut words) = mpsc::unbounded_channel();
-    let offices = [
-        bind(settings.control, "Listen.Control").await?,
-        bind(settings.directory, "Listen.Directory").await?,
-    ];
-    let inner = bind(Some(SocketAddrV4::new(settings.ip, settings.port).into()), "InternalPorts").await?;
-    let port = Port::new(settings, clock, control, logbook, kept);
-    let on_disk = port.clone();
-    spawn_local(async move {
-        while let Some(then) = words.recv().await {
-            on_disk.kept(then);
-        }
-    });
-    spawn_local(links::listen(port.clone(), inner));
-    spawn_local(links::keep(port.clone()));
-    for office in offices {
-        spawn_local(office::listen(port.clone(), office));
-    }
-    spawn_local(lookout::watch(port.clone()));
-    let ticked = port.clone();
-    spawn_local(async move {
-        loop {
-            ticked.step(|control, now| control.tick(now));
-            sleep(TICK).await;
-        }
-    });
+/// Ends with SIGTERM. SIGHUP has the settings read and checked again; what is in use stays until the next start.
+async fn told_to_leave() -> Outcome<impl Future<Output = ()>> {
     let mut term = signal(SignalKind::terminate()).change_context(MasterError::Start)?;
     let mut again = signal(SignalKind::hangup()).change_context(MasterError::Start)?;
-    log::info!("control gateway {} is up", port.settings.name);
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = again.recv() => match read_settings() {
-                Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
-                Err(e) => log::error!("settings: {e:#}; what is in use stays"),
-            },
+    Ok(async move {
+        loop {
+            tokio::select! {
+                _ = term.recv() => return,
+                _ = again.recv() => match read_settings() {
+                    Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
+                    Err(e) => log::error!("settings: {e:#}; what is in use stays"),
+                },
+            }
         }
-    }
-    leave(&port).await;
-    Ok(())
-}
-
-async fn leave(port: &Rc<Port>) {
-    log::info!("leaving");
-    port.leaving.set(true);
-    port.step(|control, now| control.leave(now));
-    sleep(LEAVE).await;
+    })
 }
 
 fn on_runtime<T>(work: impl Future<Output = Outcome<T>>) -> Outcome<T> {
@@ -213,7 +67,7 @@
             let settings = read_settings()?;
             let level = std::env::var("ARCHLINK_LOG").ok().and_then(|l| l.parse().ok());
             mooring::log_to_stderr(&settings.name, level.unwrap_or(log::LevelFilter::Info));
-            on_runtime(run(settings))
+            on_runtime(async { serve(settings, told_to_leave().await?).await })
         }
         Some((name, below)) => on_runtime(desk::command(name, below)),
     }
--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -43,6 +43,7 @@
     pub leaving: Cell<bool>,
     /// Does the holder of the counts answer? Where it doesn't, nobody waits for it.
     counted: Cell<bool>,
+    has_counted: Cell<bool>,
     /// Rung when there are adds to send, or the module's wake-up is sooner than before.
     pub to_count: Notify,
     pub to_wake: Notify,
@@ -74,6 +75,7 @@
             pilots: Cell::new(0),
             leaving: Cell::new(false),
             counted: Cell::new(false),
+            has_counted: Cell::new(false),
             to_count: Notify::new(),
             to_wake: Notify::new(),
             woken_at: Cell::new(f64::INFINITY),
@@ -101,9 +103,12 @@
         self.clock.now() < self.vouched.get()
     }
 
-    /// Can clients be sent here?
+    /// Can clients be sent here? A gateway that has only started has no share yet, and waits for the counter; one that has
+    /// lost the counter later goes on.
     pub fn ready(&self) -> bool {
-        !self.leaving.get()
+        let counts = self.has_counted.get() || self.clock.now() > self.settings.bounds.quota_window;
+        counts
+            && !self.leaving.get()
             && self.chart.borrow().is_some()
             && self.vouched()
             && self.berth.borrow().count().1 > 0
@@ -298,6 +303,9 @@
 
     /// The holder of the counts answers, or does not.
     pub fn set_counted(&self, counted: bool) {
+        if counted && !self.has_counted.replace(true) {
+            self.turned.notify_waiters();
+        }
         if self.counted.replace(counted) != counted {
             log::info!("{}", if counted { "the counter answers" } else { "no counter: shares alone" });
         }
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -1,142 +1,28 @@
-//! archlink-pilot: the data plane's program. Owns the command line and the order of start and end. Must never look into a
-//! request or take part in a decision.
+//! archlink-pilot: the data plane's program. Owns the command line and the signals. Must never look into a request or take
+//! part in a decision.
 #![forbid(unsafe_code)]
 
-mod deck;
-mod front;
-mod hand_off;
-mod request;
-mod session;
-mod voyage;
-
-use chart::Settings;
+use archlink_pilot::{Outcome, PilotError, read_settings, serve};
 use clap::Command;
-use deck::Deck;
-use error_stack::{Report, ResultExt};
-use fairway::kept::Kept;
-use fairway::plain::CallerSide;
-use front::{Front, Stage};
-use mooring::Clock;
-use std::cell::Cell;
-use std::fmt;
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpListener;
+use error_stack::ResultExt;
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
-use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
-
-/// Parts of the descriptors for clients and for hosts, and of the memory for large bodies.
-const CLIENTS: f64 = 0.5;
-const HOSTS: f64 = 0.35;
-const BODIES: f64 = 0.2;
-/// What is kept to a host that names no time of its own, and the wait for a new connection.
-const HOST_IDLE: f64 = 5.0;
-const HOST_CONNECT: f64 = 0.25;
-/// The largest answer of a host.
-const MOST_REPLY: usize = 8 << 20;
-/// After SIGTERM: part of the grace in which clients that still come are served, and the part by which all ends.
-const TAKE_ON: f64 = 0.4;
-const END_BY: f64 = 0.95;
-/// Where the settings name no grace.
-const GRACE: f64 = 6.0;
-
-/// Why the program does not start.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PilotError {
-    /// The settings file can't be read or is wrong.
-    Settings,
-    /// An address can't be listened on, or the system refuses what a server needs.
-    Start,
-}
-
-impl fmt::Display for PilotError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            PilotError::Settings => "the settings file can't be used",
-            PilotError::Start => "the data gateway can't start",
-        })
-    }
-}
-
-impl std::error::Error for PilotError {}
-
-type Outcome<T> = Result<T, Report<PilotError>>;
 
-fn read_settings() -> Outcome<Settings> {
-    let path = std::env::var_os("ARCHLINK_CONFIG")
-        .map_or_else(|| "/etc/archlink/settings.json".into(), PathBuf::from);
-    let text = std::fs::read_to_string(&path)
-        .change_context(PilotError::Settings)
-        .attach_with(|| path.display().to_string())?;
-    Settings::read(&text).change_context(PilotError::Settings)
-}
-
-async fn bind(address: Option<SocketAddr>, key: &'static str) -> Outcome<TcpListener> {
-    let address =
-        address.ok_or_else(|| Report::new(PilotError::Settings).attach(format!("{key}: missing")))?;
-    TcpListener::bind(address)
-        .await
-        .change_context(PilotError::Start)
-        .attach_with(|| format!("{key}: {address}"))
-}
-
-async fn run(settings: Settings) -> Outcome<()> {
-    let clock = Clock::start();
-    let (clients, ready) =
-        (bind(settings.front, "Listen.Front").await?, bind(settings.ready, "Listen.Ready").await?);
-    let places = |part: f64| (settings.descriptors as f64 * part) as usize;
-    let room = Rc::new(Cell::new((settings.memory * BODIES) as usize));
-    let replies = room.clone();
-    let codec = move || CallerSide::new(hand_off::READ, MOST_REPLY, replies.clone());
-    let kept = Kept::new(places(HOSTS), HOST_IDLE, HOST_CONNECT, codec);
-    let grace = if settings.bounds.grace.is_finite() { settings.bounds.grace } else { GRACE };
-    let (stage, stages) = watch::channel(Stage::Serving);
-    let most = places(CLIENTS);
-    let deck = Deck::new(settings, clock, kept.clone());
-    let (open, at_work) = (Cell::new(0), Cell::new(0));
-    let front = Rc::new(Front { deck: deck.clone(), stage: stages, room, most, open, at_work });
-    spawn_local(session::keep(deck.clone()));
-    spawn_local(session::count(deck.clone()));
-    let waking = deck.clone();
-    spawn_local(async move { waking.keep_waking().await });
-    spawn_local(front::ready(front.clone(), ready));
-    let listening = spawn_local(front::listen(front.clone(), clients));
-    spawn_local(async move {
-        loop {
-            sleep(Duration::from_secs(1)).await;
-            kept.sweep();
-        }
-    });
+/// Ends with SIGTERM. SIGHUP has the settings read and checked again; what is in use stays until the next start.
+async fn told_to_leave() -> Outcome<impl Future<Output = ()>> {
     let mut term = signal(SignalKind::terminate()).change_context(PilotError::Start)?;
     let mut again = signal(SignalKind::hangup()).change_context(PilotError::Start)?;
-    log::info!("data gateway {} is up", deck.settings.name);
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = again.recv() => match read_settings() {
-                Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
-                Err(e) => log::error!("settings: {e:#}; what is in use stays"),
-            },
+    Ok(async move {
+        loop {
+            tokio::select! {
+                _ = term.recv() => return,
+                _ = again.recv() => match read_settings() {
+                    Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
+                    Err(e) => log::error!("settings: {e:#}; what is in use stays"),
+                },
+            }
         }
-    }
-    log::info!("leaving");
-    let began = Instant::now();
-    deck.leaving.set(true);
-    deck.turned.notify_waiters();
-    stage.send(Stage::Leaving).ok();
-    sleep(Duration::from_secs_f64(grace * TAKE_ON)).await;
-    stage.send(Stage::Closed).ok();
-    listening.await.ok();
-    while front.at_work.get() > 0 && began.elapsed().as_secs_f64() < grace * END_BY {
-        sleep(Duration::from_millis(5)).await;
-    }
-    log::info!("all answered");
-    Ok(())
+    })
 }
 
 fn begin() -> Outcome<()> {
@@ -146,7 +32,7 @@
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime =
         builder.enable_all().build_local(LocalOptions::default()).change_context(PilotError::Start)?;
-    runtime.block_on(run(settings))?;
+    runtime.block_on(async { serve(settings, told_to_leave().await?).await })?;
     std::process::exit(0)
 }
 
