The set of voters is agreed on at the first start; shares wait until it is known how many share

Need: sites that bear the loss of two disks need five voters, and only three seeds are known to all. Change: where more disks are needed, the seeds decide on a set among themselves, once, before anything is stored (harbour/src/founding.rs). Also found by reading: a control gateway that had just started told data gateways how many there are from the few sessions that it knew, so that shares, cold parts and budgets were too large for a moment; it now tells nothing for 4 s.

--- a/berth/src/budget.rs
+++ b/berth/src/budget.rs
@@ -30,9 +30,10 @@
         }
     }
 
-    /// A window's requests earn on top of what is held: that alone is bounded here.
+    /// A window's requests earn on top of what is held: that alone is bounded here. Nothing while it isn't known how many
+    /// share.
     fn most(rule: &Rule, gateways: u32) -> f64 {
-        (rule.slack * GIVEN / f64::from(gateways.max(1))).max(0.0)
+        if gateways == 0 { 0.0 } else { rule.slack * GIVEN / f64::from(gateways) }
     }
 
     /// Takes one further try, if there is one.
--- a/berth/src/choice.rs
+++ b/berth/src/choice.rs
@@ -33,6 +33,9 @@
 /// Requests this gateway keeps out at a host, beyond its slots: more only wait there, and elsewhere they need not.
 const MOST_HOSTS: usize = 8192;
 
+/// Data gateways, until it is known how many: more than there may be, so that no part is too large.
+const UNKNOWN: u32 = 1000;
+
 /// The rule for hosts that are cold: requests in any one second, over all gateways.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdRule {
@@ -142,7 +145,7 @@
             by_service: HashMap::new(),
             services: HashMap::new(),
             evacuated: BTreeSet::new(),
-            gateways: 0,
+            gateways: UNKNOWN,
             chance: oorandom::Rand64::new(u128::from(seed)),
             next: 1,
         }
--- a/chart/src/settings.rs
+++ b/chart/src/settings.rs
@@ -24,6 +24,12 @@
     file_descriptors: u64,
 }
 
+#[derive(Config, Debug)]
+#[config(rename_all = "PascalCase", allow_unknown_fields)]
+struct ToleranceFile {
+    machine_losses: u32,
+}
+
 #[derive(Config, Debug)]
 #[config(rename_all = "PascalCase", allow_unknown_fields)]
 struct CloudFile {
@@ -46,6 +52,8 @@
     seed_nodes: Vec<String>,
     first_start: bool,
     #[setting(nested)]
+    tolerance: Option<ToleranceFile>,
+    #[setting(nested)]
     limits: LimitsFile,
     data_dir: Option<String>,
     timing_bounds: Vec<String>,
@@ -90,6 +98,8 @@
     pub port: u16,
     pub seeds: Vec<SocketAddrV4>,
     pub first_start: bool,
+    /// Machines with a disk that may be lost at once.
+    pub losses: u32,
     pub memory: f64,
     pub descriptors: u64,
     pub data: Option<PathBuf>,
@@ -139,6 +149,7 @@
             port,
             seeds,
             first_start: file.first_start,
+            losses: file.tolerance.map_or(1, |tolerance| tolerance.machine_losses).min(8),
             memory: file.limits.memory_mb.max(1.0) * 1e6,
             descriptors: file.limits.file_descriptors,
             data: file.data_dir.map(PathBuf::from),
--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -3,6 +3,7 @@
 //! members. Must never read a clock or touch a socket: `harbourmaster` does that.
 
 use crate::duties::{Duties, Term};
+use crate::founding::{self, Founding};
 use crate::helm::{Change, Helm};
 use crate::roster::Roster;
 use crate::voter::Voter;
@@ -13,11 +14,16 @@
 /// Between two signs of life to the other control gateways.
 const BEAT_EVERY: f64 = 0.3;
 
+/// By then all sessions were told of, here and by the other control gateways.
+const KNOWS_PILOTS: f64 = 4.0;
+
 /// What a control gateway starts from.
 pub struct Start {
     pub keeper: Keeper,
-    /// The set of voters as far as known: from the disk, or from the seeds at the very first start.
+    /// The set of voters as the disk has it; empty where it has none.
     pub voters: Vec<Node>,
+    /// At the very first start of the whole system: the seeds, and how many disks are needed.
+    pub founding: Option<(Vec<Node>, usize)>,
     /// Slots from the disk; none where the disk is empty though this is not the first start.
     pub slots: Option<BTreeMap<Register, Slot>>,
     /// Duties that it granted last, from the disk.
@@ -36,11 +42,13 @@
     /// The fleet's clock is the own steady one and this.
     ahead: f64,
     beat_at: f64,
+    began: f64,
+    founding: Option<Founding>,
 }
 
 impl Control {
     pub fn new(now: f64, start: Start) -> Control {
-        let Start { keeper, voters, slots, posts, seed } = start;
+        let Start { keeper, voters, founding, slots, posts, seed } = start;
         let me = keeper.node;
         let mut control = Control {
             me,
@@ -52,12 +60,21 @@
             hosts: Hosts::default(),
             ahead: 0.0,
             beat_at: f64::NEG_INFINITY,
+            began: now,
+            founding: None,
         };
-        control.set_voters(&voters);
+        match founding {
+            Some((seeds, needed)) if needed > seeds.len() => {
+                control.founding = Some(Founding::new(now, me, &seeds, needed, seed.rotate_left(17)));
+            }
+            Some((seeds, _)) => control.set_voters(&seeds),
+            None => control.set_voters(&voters),
+        }
         control
     }
 
     fn set_voters(&mut self, voters: &[Node]) {
+        self.founding = None;
         self.voters = voters.to_vec();
         self.voter.set_voters(voters);
         self.helm.set_voters(voters);
@@ -120,7 +137,9 @@
             confirmed: self.helm.confirmed(Register::Chart).map(|at| now - at),
             vector: self.vector(),
             posts: self.duties.posts(now),
-            pilots: self.roster.counted(),
+            // Who has only started does not know of all: too few would make shares too large.
+            pilots: if now > self.began + KNOWS_PILOTS { self.roster.counted() } else { 0 },
+            voters: self.voters.clone(),
         })
     }
 
@@ -199,6 +218,9 @@
 
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = self.voter.tick(now);
+        if let Some(founding) = &mut self.founding {
+            acts.extend(founding.tick(now, &self.roster.keepers()));
+        }
         acts.extend(self.helm.tick(now));
         acts.extend(self.duties.tick(now));
         if self.roster.tick(now) || now >= self.beat_at + BEAT_EVERY {
@@ -207,17 +229,32 @@
         acts
     }
 
+    fn told_voters(&mut self, voters: &[Node]) {
+        if self.voters.is_empty() && !voters.is_empty() {
+            self.set_voters(voters);
+        }
+    }
+
+    fn found(&mut self, now: f64, from: Node, word: &Word) -> Vec<Act> {
+        let Some(founding) = &mut self.founding else { return Vec::new() };
+        let acts = founding.hear(now, from, word);
+        if let Some(voters) = founding.decided() {
+            self.set_voters(&voters);
+        }
+        acts
+    }
+
     /// A word of another control gateway, or of this one to itself.
     pub fn hear(&mut self, now: f64, from: Node, word: Word) -> Vec<Act> {
         match word {
+            ref word if founding::concerns(word) => self.found(now, from, word),
             Word::Greet { keeper, voters } => {
-                if self.voters.is_empty() && !voters.is_empty() {
-                    self.set_voters(&voters);
-                }
+                self.told_voters(&voters);
                 if self.roster.meet(&keeper) { self.beat_all(now) } else { Vec::new() }
             }
             Word::Beat(beat) => {
                 self.heard_clock(now, beat.clock);
+                self.told_voters(&beat.voters);
                 self.roster.alive(now, from);
                 beat.posts.iter().for_each(|&post| self.duties.told(now, from, post));
                 match self.lacks(from, &beat.vector) {
--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -35,6 +35,8 @@
     },
     /// What a majority can't agree on is brought to one value.
     Settle(Register),
+    /// The set of voters, if none is decided yet.
+    Found(Vec<Node>),
 }
 
 impl Change {
@@ -43,6 +45,7 @@
             Change::Chart { .. } => Register::Chart,
             Change::Evacuate { .. } => Register::Evacuations,
             Change::Settle(register) => *register,
+            Change::Found(_) => Register::Founders,
         }
     }
 
@@ -66,6 +69,9 @@
                 let value = zones.into_iter().collect::<Vec<_>>().join("\n").into();
                 Some((held.map_or(0, |held| held.stamp) + 1, value))
             }
+            Change::Found(set) if held.is_none() => {
+                Some((1, set.iter().map(Node::to_string).collect::<Vec<_>>().join("\n").into()))
+            }
             _ => before,
         }
     }
@@ -327,8 +333,20 @@
 
     /// Attempts that hang are begun anew, changes whose time is up end, and the question is asked again.
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
+        let mut acts = self.tick_work(now);
+        let known = self.confirmed(Register::Chart).is_some();
+        let every = if known { ASK_EVERY } else { ASK_AT_FIRST };
+        if now >= self.question.at + every && !self.voters.is_empty() {
+            acts.extend(self.ask(now));
+        }
+        acts
+    }
+
+    /// The same without the question.
+    pub fn tick_work(&mut self, now: f64) -> Vec<Act> {
         let mut acts = Vec::new();
-        for register in REGISTERS {
+        let busy: Vec<Register> = self.work.keys().chain(self.waiting.keys()).copied().collect();
+        for register in busy {
             let Some(work) = self.work.get(&register) else {
                 acts.extend(self.next(now, register));
                 continue;
@@ -342,11 +360,6 @@
                 acts.extend(self.prepare(now, register));
             }
         }
-        let known = self.confirmed(Register::Chart).is_some();
-        let every = if known { ASK_EVERY } else { ASK_AT_FIRST };
-        if now >= self.question.at + every && !self.voters.is_empty() {
-            acts.extend(self.ask(now));
-        }
         acts
     }
 
--- a/harbour/src/lib.rs
+++ b/harbour/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod duties;
+pub mod founding;
 pub mod helm;
 pub mod roster;
 pub mod voter;
--- a/harbour/tests/fleet.rs
+++ b/harbour/tests/fleet.rs
@@ -32,6 +32,9 @@
     acked: Vec<(u64, u64)>,
     chosen: BTreeMap<u64, bytes::Bytes>,
     lossy: f64,
+    /// Disks that are asked for, and gateways that there are.
+    needed: usize,
+    size: Node,
 }
 
 fn keeper(node: Node) -> Keeper {
@@ -41,7 +44,13 @@
 
 impl Fleet {
     fn new(seed: u64) -> Fleet {
+        Fleet::of(seed, 3, 4)
+    }
+
+    fn of(seed: u64, needed: usize, size: Node) -> Fleet {
         let mut fleet = Fleet {
+            needed,
+            size,
             now: 10.0,
             chance: oorandom::Rand64::new(u128::from(seed)),
             live: BTreeMap::new(),
@@ -54,17 +63,18 @@
             chosen: BTreeMap::new(),
             lossy: 0.0,
         };
-        (1..=4).for_each(|node| fleet.start(node, true));
+        (1..=size).for_each(|node| fleet.start(node, true));
         fleet
     }
 
-    /// The last one of four has no vote.
+    /// Of four the last one has no vote.
     fn start(&mut self, node: Node, first: bool) {
         let disk = self.disks.entry(node).or_default().clone();
         let remembers = !disk.voters.is_empty();
         let start = Start {
             keeper: keeper(node),
-            voters: if remembers || !first { disk.voters } else { vec![1, 2, 3] },
+            voters: disk.voters,
+            founding: (first && !remembers).then(|| (vec![1, 2, 3], self.needed)),
             slots: (remembers || first).then_some(disk.slots),
             posts: disk.posts.into_values().collect(),
             seed: self.chance.rand_u64(),
@@ -72,7 +82,7 @@
         self.live.insert(node, Control::new(self.now, start));
         self.frozen.remove(&node);
         // Links come up anew, and each end says who it is.
-        for other in 1..=4 {
+        for other in 1..=self.size {
             for (from, to) in [(node, other), (other, node)] {
                 if let Some(control) = self.live.get(&from).filter(|_| from != to) {
                     let greeting = control.greeting();
@@ -328,3 +338,27 @@
         }
     });
 }
+
+/// Two disks may be lost at once: five of six vote, one set is agreed on, and what they acknowledge outlives two of them.
+#[test]
+fn six_gateways_agree_on_five_voters_and_bear_the_loss_of_two() {
+    for seed in 0..15 {
+        let mut fleet = Fleet::of(seed, 5, 6);
+        fleet.lossy = 0.05;
+        fleet.run(4.0);
+        let sets: BTreeSet<Vec<Node>> = fleet.live.values().map(|c| c.voters().to_vec()).collect();
+        assert!(sets.len() == 1 && sets.iter().all(|set| set.len() == 5), "seed {seed}: {sets:?}");
+        fleet.lossy = 0.0;
+        fleet.replace(6, 1, 7);
+        fleet.run(1.0);
+        assert_eq!(fleet.done.get(&1), Some(&true), "seed {seed}");
+        (1..=2).for_each(|node| fleet.kill(node, true));
+        fleet.run(0.5);
+        (1..=2).for_each(|node| fleet.start(node, false));
+        fleet.run(6.0);
+        for (node, control) in &fleet.live {
+            let held = control.helm.chosen(Register::Chart).map(|held| held.stamp);
+            assert!(held == Some(8) && control.voter.whole(), "seed {seed}, node {node}");
+        }
+    }
+}
--- a/harbourmaster/src/lib.rs
+++ b/harbourmaster/src/lib.rs
@@ -11,6 +11,7 @@
 use chart::Settings;
 use error_stack::{Report, ResultExt};
 use harbour::control::{Control, Start};
+use harbour::founding::needed;
 use logbook::Logbook;
 use mooring::Clock;
 use port::Port;
@@ -108,8 +109,9 @@
             region: settings.region.clone(),
             control: SocketAddrV4::new(settings.ip, control.port()),
         },
+        voters: state.voters,
         // The seeds are the same three everywhere at the very first start, and only then.
-        voters: if remembers || !settings.first_start { state.voters } else { seeds },
+        founding: (settings.first_start && !remembers).then(|| (seeds, needed(settings.losses))),
         slots: (remembers || settings.first_start).then_some(state.slots),
         posts: state.posts.into_values().collect(),
         seed: mooring::chance(),
--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -164,8 +164,10 @@
                 }
             }
         }
-        self.pilots.set(beat.pilots);
-        self.berth.borrow_mut().set_gateways(beat.pilots);
+        if beat.pilots > 0 {
+            self.pilots.set(beat.pilots);
+            self.berth.borrow_mut().set_gateways(beat.pilots);
+        }
         let mine = self.vector.borrow();
         let theirs = &beat.vector;
         // It vouches only for what is held here: a newer one has to be pulled first.
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -27,8 +27,11 @@
     Chart,
     /// Which zones are evacuated.
     Evacuations,
+    /// Who votes on the others; decided once, by the seeds alone.
+    Founders,
 }
 
+/// Those that the voters hold and are asked about.
 pub const REGISTERS: [Register; 2] = [Register::Chart, Register::Evacuations];
 
 /// A register's value under the ballot it was accepted with. Among chosen values a stamp names one content.
@@ -143,8 +146,10 @@
     pub confirmed: Option<f64>,
     pub vector: Vector,
     pub posts: Vec<Post>,
-    /// Data gateways that there may be, lately lost ones among them.
+    /// Data gateways that there may be, lately lost ones among them; 0 is not known yet.
     pub pilots: u32,
+    /// Who votes; empty is not known yet.
+    pub voters: Vec<Node>,
 }
 
 /// One add to a name of the counter.
