Configurations go out as patches on what the reader holds, and are asked for once

Change: the register holds texts packed by zstd; a data gateway gets a patch on the text that it holds, made once for all that hold the same, and asks again only after a second.

--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -196,6 +196,8 @@
                     }
                 }
                 Piece::Sessions(sessions) => self.roster.told(now, sessions),
+                // For data gateways alone.
+                Piece::Chart { .. } => {}
             }
         }
         acts
--- a/harbourmaster/src/links.rs
+++ b/harbourmaster/src/links.rs
@@ -143,7 +143,7 @@
             out.try_send(Word::Totals { clock: port.look(|control, now| control.clock(now)), totals }).ok();
         }
         Word::Pull(theirs) if who.pilot.is_some() => {
-            let pieces = port.look(|control, _| control.lacking(&theirs, false));
+            let pieces = port.lacking(&theirs);
             if !pieces.is_empty() {
                 out.try_send(Word::News(pieces)).ok();
             }
--- a/harbourmaster/src/office.rs
+++ b/harbourmaster/src/office.rs
@@ -9,7 +9,7 @@
 use futures_util::{SinkExt, StreamExt};
 use harbour::helm::{Change, evacuated};
 use serde_json::{Value, json};
-use signal::Register;
+use signal::{Register, pack};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -127,7 +127,10 @@
     match call {
         Call::Replace => replace(port, request.body).await,
         Call::Read => match port.read(Register::Chart, WITHIN).await {
-            Some(Some(text)) => Answer::json(200, text),
+            Some(Some(packed)) => match pack::unpack(&packed, b"") {
+                Ok(text) => Answer::json(200, text),
+                Err(e) => refused(500, e),
+            },
             Some(None) => refused(404, "no configuration was ever taken"),
             None => later("no majority confirms what is held here"),
         },
@@ -148,6 +151,10 @@
             return refused(400, e.current_context());
         }
     };
+    let text = match pack::pack(&text, b"") {
+        Ok(packed) => packed.into(),
+        Err(e) => return refused(413, e),
+    };
     match port.change(Change::Chart { version, text }).await {
         true => Answer::json(200, json!({"ConfigVersion": format!("{version:08x}")}).to_string()),
         false => later("no majority has taken it yet"),
--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -8,7 +8,7 @@
 use fairway::kept::Kept;
 use fairway::plain::CallerSide;
 use mooring::Clock;
-use signal::{Add, Beat, Duty, Keeper, Node, Piece, Pilot, Post, Register, Vector};
+use signal::{Add, Beat, Duty, Keeper, Node, Piece, Pilot, Post, Register, Vector, pack};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::{SocketAddr, SocketAddrV4};
@@ -27,6 +27,8 @@
     pub clock: Clock,
     pub kept: Rc<Kept<CallerSide>>,
     chart: RefCell<Option<Rc<Chart>>>,
+    /// Its text, on which the next one comes as a patch.
+    text: RefCell<Vec<u8>>,
     /// Until when a majority has vouched for the configuration held here.
     vouched: Cell<f64>,
     pub berth: RefCell<Berth>,
@@ -62,6 +64,7 @@
             clock,
             kept,
             chart: RefCell::default(),
+            text: RefCell::default(),
             vouched: Cell::new(f64::NEG_INFINITY),
             berth: RefCell::new(berth),
             budget: RefCell::default(),
@@ -190,11 +193,8 @@
         let now = self.clock.now();
         for piece in pieces {
             match piece {
-                Piece::Chosen(Register::Chart, held) if held.stamp > self.vector.borrow().chart => {
-                    match Chart::read(&held.value) {
-                        Ok(chart) => self.take_chart(held.stamp, chart),
-                        Err(e) => log::error!("a configuration that was chosen can't be read: {e}"),
-                    }
+                Piece::Chart { stamp, base, packed } if stamp > self.vector.borrow().chart => {
+                    self.unpack_chart(stamp, base, &packed);
                 }
                 Piece::Chosen(Register::Evacuations, held)
                     if held.stamp > self.vector.borrow().evacuations =>
@@ -223,6 +223,27 @@
         self.turned.notify_waiters();
     }
 
+    fn unpack_chart(&self, stamp: u64, base: u64, packed: &[u8]) {
+        let mut held = self.text.borrow_mut();
+        if base != 0 && base != self.vector.borrow().chart {
+            // Made for what was held when it was asked for: the next beat has it asked for again.
+            return;
+        }
+        let text = pack::unpack(packed, if base == 0 { b"" } else { &held });
+        let text = match text {
+            Ok(text) => text,
+            Err(e) => return log::error!("a configuration can't be unpacked: {e}"),
+        };
+        match Chart::read(&text) {
+            Ok(chart) => {
+                *held = text;
+                drop(held);
+                self.take_chart(stamp, chart);
+            }
+            Err(e) => log::error!("a configuration that was chosen can't be read: {e}"),
+        }
+    }
+
     fn take_chart(&self, stamp: u64, chart: Chart) {
         log::info!("configuration {:08x} is in force", chart.version);
         let quota = |t: &Tenant| Quota { tenant: t.name.clone(), rate: t.rate, burst: t.burst };
--- a/pilot/src/session.rs
+++ b/pilot/src/session.rs
@@ -15,6 +15,8 @@
 const SILENT: f64 = 1.3;
 /// A control gateway that no majority has answered for so long is cut off itself: another may not be.
 const STALE: f64 = 2.0;
+/// What was asked for and has not come is asked for again after this.
+const PULL_AGAIN: f64 = 1.0;
 /// A control gateway that failed is called after all others for so long.
 const SHUN: f64 = 5.0;
 /// How long a session in another zone stands before a nearer control gateway is tried again.
@@ -72,6 +74,7 @@
     let (out, mut words) = split(framed, MOST_WORDS);
     let began = deck.clock.now();
     let (mut serial, mut heard, mut fresh) = (0_u64, began, began);
+    let mut pulled = f64::NEG_INFINITY;
     let mut sent: HashMap<u64, f64> = HashMap::new();
     let mut next = Instant::now();
     loop {
@@ -87,11 +90,17 @@
                     if beat.confirmed.is_some_and(|age| age < STALE) {
                         fresh = now;
                     }
-                    if deck.beat(&beat, asked) && out.try_send(Word::Pull(deck.vector())).is_err() {
-                        return Some("it does not read".into());
+                    let lacks = deck.beat(&beat, asked);
+                    // What is on its way is not asked for twice: a narrow link would carry it twice.
+                    if lacks && now > pulled + PULL_AGAIN {
+                        pulled = now;
+                        if out.try_send(Word::Pull(deck.vector())).is_err() {
+                            return Some("it does not read".into());
+                        }
                     }
                 }
                 Some(Ok(Word::News(pieces))) => {
+                    pulled = f64::NEG_INFINITY;
                     deck.take(pieces);
                     // What it vouched for may be held only now.
                     next = Instant::now();
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -3,6 +3,8 @@
 //! seconds, and the fleet's clock counts from nowhere in particular.
 #![forbid(unsafe_code)]
 
+pub mod pack;
+
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -23,7 +25,7 @@
 /// What the control plane keeps on disk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Register {
-    /// The configuration, as the operator sent it.
+    /// The configuration, as the operator sent it, packed by itself.
     Chart,
     /// Which zones are evacuated.
     Evacuations,
@@ -122,6 +124,12 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Piece {
     Chosen(Register, Held),
+    /// The configuration of a stamp, packed against that of another, which the reader holds; 0 is against none.
+    Chart {
+        stamp: u64,
+        base: u64,
+        packed: Bytes,
+    },
     Hosts(Hosts),
     Keepers(Vec<Keeper>),
     Sessions(Sessions),
