--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -5,6 +5,7 @@
 use crate::duties::{Duties, Term};
 use crate::founding::{self, Founding};
 use crate::helm::{Change, Helm};
+use crate::journal::{Event, Journal};
 use crate::roster::Roster;
 use crate::voter::Voter;
 use crate::{Act, Record};
@@ -37,8 +38,8 @@
     pub voter: Voter,
     pub helm: Helm,
     pub duties: Duties,
-    pub roster: Roster,
-    hosts: Hosts,
+    /// Who is there and which hosts: views of what happened.
+    pub journal: Journal,
     /// The fleet's clock is the own steady one and this.
     ahead: f64,
     beat_at: f64,
@@ -56,8 +57,7 @@
             voter: Voter::new(now, me, slots),
             helm: Helm::new(me, seed),
             duties: Duties::new(now, me, !seed, &posts),
-            roster: Roster::new(keeper, seed),
-            hosts: Hosts::default(),
+            journal: Journal::new(Roster::new(keeper, seed)),
             ahead: 0.0,
             beat_at: f64::NEG_INFINITY,
             began: now,
@@ -97,16 +97,17 @@
     }
 
     pub fn hosts(&self) -> &Hosts {
-        &self.hosts
+        &self.journal.hosts
+    }
+
+    /// Something happened; where it is news, the other control gateways hear of it at once.
+    pub fn happened(&mut self, now: f64, event: Event) -> Vec<Act> {
+        if self.journal.append(now, event) { self.beat_all(now) } else { Vec::new() }
     }
 
     /// The lookout's new list.
     pub fn list(&mut self, now: f64, hosts: Hosts) -> Vec<Act> {
-        if (hosts.term, hosts.version) <= (self.hosts.term, self.hosts.version) {
-            return Vec::new();
-        }
-        self.hosts = hosts;
-        self.beat_all(now)
+        self.happened(now, Event::Listed(hosts))
     }
 
     /// Since when this gateway holds the counts, and in which term.
@@ -115,7 +116,7 @@
     }
 
     pub fn greeting(&self) -> Word {
-        Word::Greet { keeper: self.roster.keeper.clone(), voters: self.voters.clone() }
+        Word::Greet { keeper: self.journal.roster.keeper.clone(), voters: self.voters.clone() }
     }
 
     pub fn vector(&self) -> Vector {
@@ -123,9 +124,9 @@
         Vector {
             chart: stamp(Register::Chart),
             evacuations: stamp(Register::Evacuations),
-            hosts: (self.hosts.term, self.hosts.version),
-            keepers: self.roster.keepers_stamp(),
-            sessions: self.roster.vector(),
+            hosts: (self.journal.hosts.term, self.journal.hosts.version),
+            keepers: self.journal.roster.keepers_stamp(),
+            sessions: self.journal.roster.vector(),
         }
     }
 
@@ -138,7 +139,7 @@
             vector: self.vector(),
             posts: self.duties.posts(now),
             // Who has only started does not know of all: too few would make shares too large.
-            pilots: if now > self.began + KNOWS_PILOTS { self.roster.counted() } else { 0 },
+            pilots: if now > self.began + KNOWS_PILOTS { self.journal.roster.counted() } else { 0 },
             voters: self.voters.clone(),
         })
     }
@@ -156,13 +157,13 @@
                     .map(|h| Piece::Chosen(register, h.clone())),
             );
         }
-        if (self.hosts.term, self.hosts.version) > theirs.hosts {
-            pieces.push(Piece::Hosts(self.hosts.clone()));
+        if (self.journal.hosts.term, self.journal.hosts.version) > theirs.hosts {
+            pieces.push(Piece::Hosts(self.journal.hosts.clone()));
         }
-        if self.roster.keepers_stamp() != theirs.keepers {
-            pieces.push(Piece::Keepers(self.roster.keepers()));
+        if self.journal.roster.keepers_stamp() != theirs.keepers {
+            pieces.push(Piece::Keepers(self.journal.roster.keepers()));
         }
-        let own = self.roster.sessions();
+        let own = self.journal.roster.sessions();
         if sessions && !theirs.sessions.contains(&(own.source, own.boot, own.version)) {
             pieces.push(Piece::Sessions(own));
         }
@@ -185,17 +186,13 @@
         for piece in pieces {
             match piece {
                 Piece::Chosen(register, held) => acts.extend(self.helm.learn(register, &held)),
-                Piece::Hosts(hosts) => {
-                    if (hosts.term, hosts.version) > (self.hosts.term, self.hosts.version) {
-                        self.hosts = hosts;
-                    }
-                }
+                Piece::Hosts(hosts) => drop(self.journal.append(now, Event::Listed(hosts))),
                 Piece::Keepers(keepers) => {
-                    for keeper in &keepers {
-                        self.roster.meet(keeper);
+                    for keeper in keepers {
+                        self.journal.append(now, Event::Met(keeper));
                     }
                 }
-                Piece::Sessions(sessions) => self.roster.told(now, sessions),
+                Piece::Sessions(sessions) => drop(self.journal.append(now, Event::Told(sessions))),
                 // For data gateways alone.
                 Piece::Chart { .. } => {}
             }
@@ -208,7 +205,7 @@
     }
 
     fn others(&self) -> impl Iterator<Item = Node> {
-        self.roster.keepers().into_iter().map(|k| k.node).filter(|&node| node != self.me)
+        self.journal.roster.keepers().into_iter().map(|k| k.node).filter(|&node| node != self.me)
     }
 
     /// Signs of life to all other control gateways at once, as something is new here.
@@ -221,11 +218,11 @@
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = self.voter.tick(now);
         if let Some(founding) = &mut self.founding {
-            acts.extend(founding.tick(now, &self.roster.keepers()));
+            acts.extend(founding.tick(now, &self.journal.roster.keepers()));
         }
         acts.extend(self.helm.tick(now));
         acts.extend(self.duties.tick(now));
-        if self.roster.tick(now) || now >= self.beat_at + BEAT_EVERY {
+        if self.journal.append(now, Event::Passed) || now >= self.beat_at + BEAT_EVERY {
             acts.extend(self.beat_all(now));
         }
         acts
@@ -252,12 +249,12 @@
             ref word if founding::concerns(word) => self.found(now, from, word),
             Word::Greet { keeper, voters } => {
                 self.told_voters(&voters);
-                if self.roster.meet(&keeper) { self.beat_all(now) } else { Vec::new() }
+                self.happened(now, Event::Met(keeper))
             }
             Word::Beat(beat) => {
                 self.heard_clock(now, beat.clock);
                 self.told_voters(&beat.voters);
-                self.roster.alive(now, from);
+                self.journal.append(now, Event::Heard(from));
                 beat.posts.iter().for_each(|&post| self.duties.told(now, from, post));
                 match self.lacks(from, &beat.vector) {
                     true => vec![Act::Send(from, Word::Pull(self.vector()))],
@@ -302,9 +299,9 @@
 
     /// Leaves the duties to the nearest other control gateway that was heard of.
     pub fn leave(&mut self, now: f64) -> Vec<Act> {
-        let mut others = self.roster.keepers();
+        let mut others = self.journal.roster.keepers();
         others.retain(|k| k.node != self.me && self.voters.contains(&k.node));
-        others.sort_by_key(|k| (k.region != self.roster.keeper.region, k.node));
+        others.sort_by_key(|k| (k.region != self.journal.roster.keeper.region, k.node));
         self.duties.leave(now, others.first().map(|k| k.node))
     }
 }
--- a/harbour/src/lib.rs
+++ b/harbour/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod duties;
 pub mod founding;
 pub mod helm;
+pub mod journal;
 pub mod roster;
 pub mod voter;
 
--- a/harbour/src/roster.rs
+++ b/harbour/src/roster.rs
@@ -2,6 +2,7 @@
 //! and the control gateways themselves. A data gateway is a member while its session stands. Must never drop what may
 //! still be acting alone: a lost member is counted for a while longer.
 
+use crate::journal::Event;
 use signal::{Keeper, Node, Pilot, Sessions};
 use std::collections::BTreeMap;
 
@@ -33,8 +34,24 @@
         Roster { keeper, boot, version: 1, mine, others, keepers, counted }
     }
 
+    /// What follows from an event; true where it brought something new.
+    pub(crate) fn fold(&mut self, now: f64, event: &Event) -> bool {
+        match event {
+            Event::Met(keeper) => self.meet(keeper),
+            Event::Hailed(pilot) => self.hail(now, pilot),
+            Event::Lost(node) => self.lost(*node),
+            Event::Told(sessions) => self.told(now, sessions),
+            Event::Heard(node) => {
+                self.alive(now, *node);
+                false
+            }
+            Event::Passed => self.pass(now),
+            Event::Listed(_) => false,
+        }
+    }
+
     /// A sign of life of a data gateway; true where something is new about it.
-    pub fn hail(&mut self, now: f64, pilot: &Pilot) -> bool {
+    fn hail(&mut self, now: f64, pilot: &Pilot) -> bool {
         if self.mine.len() >= MOST_PILOTS && !self.mine.contains_key(&pilot.node) {
             return false;
         }
@@ -46,14 +63,14 @@
     }
 
     /// The connection of its session ended.
-    pub fn lost(&mut self, node: Node) {
-        if self.mine.remove(&node).is_some() {
-            self.version += 1;
-        }
+    fn lost(&mut self, node: Node) -> bool {
+        let stood = self.mine.remove(&node).is_some();
+        self.version += u64::from(stood);
+        stood
     }
 
     /// Forgets whose time is over; true where a session ended.
-    pub fn tick(&mut self, now: f64) -> bool {
+    fn pass(&mut self, now: f64) -> bool {
         let count = self.mine.len();
         self.mine.retain(|_, (_, at)| now < *at + SESSION);
         self.counted.retain(|_, at| now < *at + COUNTED);
@@ -68,17 +85,19 @@
     }
 
     /// What another control gateway tells of its sessions.
-    pub fn told(&mut self, now: f64, sessions: Sessions) {
+    fn told(&mut self, now: f64, sessions: &Sessions) -> bool {
         for pilot in &sessions.pilots {
             self.counted.insert(pilot.node, now);
         }
         if self.keepers.contains_key(&sessions.source) && sessions.source != self.keeper.node {
-            self.others.insert(sessions.source, (sessions, now));
+            let before = self.others.insert(sessions.source, (sessions.clone(), now));
+            return before.is_none_or(|(known, _)| known != *sessions);
         }
+        false
     }
 
     /// A sign of life of another control gateway.
-    pub fn alive(&mut self, now: f64, source: Node) {
+    fn alive(&mut self, now: f64, source: Node) {
         if let Some((sessions, at)) = self.others.get_mut(&source) {
             *at = now;
             for pilot in &sessions.pilots {
@@ -107,7 +126,7 @@
         all.into_values().cloned().collect()
     }
 
-    pub fn meet(&mut self, keeper: &Keeper) -> bool {
+    fn meet(&mut self, keeper: &Keeper) -> bool {
         let known = self.keepers.get(&keeper.node) == Some(keeper);
         if known || (self.keepers.len() >= MOST_KEEPERS && !self.keepers.contains_key(&keeper.node)) {
             return false;
--- a/harbourmaster/src/desk.rs
+++ b/harbourmaster/src/desk.rs
@@ -96,6 +96,7 @@
         "hosts" => carry(below, Call::Hosts, "", b"").await,
         "duties" => carry(below, Call::Duties, "", b"").await,
         "quota" => carry(below, Call::Quota, "", b"").await,
+        "journal" => carry(below, Call::Journal, "", b"").await,
         _ => {
             let (way, zone) = below.subcommand().unwrap_or(("", below));
             let call = if way == "begin" { Call::Begin } else { Call::Finish };
--- a/harbourmaster/src/links.rs
+++ b/harbourmaster/src/links.rs
@@ -4,6 +4,7 @@
 
 use crate::port::Port;
 use futures_util::StreamExt;
+use harbour::journal::Event;
 use mooring::{Out, split};
 use signal::{Node, Word};
 use std::net::SocketAddr;
@@ -27,7 +28,7 @@
 pub async fn keep(port: Rc<Port>) {
     loop {
         let mut known: Vec<Node> =
-            port.look(|control, _| control.roster.keepers().iter().map(|k| k.node).collect());
+            port.look(|control, _| control.journal.roster.keepers().iter().map(|k| k.node).collect());
         known.extend(port.settings.seeds.iter().map(|seed| mooring::node_of(*seed.ip())));
         for node in known {
             if node != port.me && !port.links.borrow().contains_key(&node) {
@@ -103,10 +104,7 @@
         if sessions.get(&node).is_some_and(|session| session.same_channel(&out)) {
             sessions.remove(&node);
             drop(sessions);
-            port.step(|control, now| {
-                control.roster.lost(node);
-                control.beat_all(now)
-            });
+            port.step(|control, now| control.happened(now, Event::Lost(node)));
         }
     }
 }
@@ -130,7 +128,7 @@
             port.step(|control, now| {
                 control.heard_clock(now, clock);
                 terms.iter().for_each(|&post| control.duties.told(now, 0, post));
-                if control.roster.hail(now, &pilot) { control.beat_all(now) } else { Vec::new() }
+                control.happened(now, Event::Hailed(pilot))
             });
             out.try_send(port.look(|control, now| control.beat(now, serial))).ok();
         }
--- a/harbourmaster/src/main.rs
+++ b/harbourmaster/src/main.rs
@@ -59,6 +59,7 @@
         .subcommand(Command::new("hosts").about("Hosts, and evacuated zones"))
         .subcommand(Command::new("duties").about("Who does what for all"))
         .subcommand(Command::new("quota").about("Tenants' quotas, and the counter"))
+        .subcommand(Command::new("journal").about("What happened lately, as one control gateway saw it"))
 }
 
 fn begin_command(matches: &ArgMatches) -> Outcome<()> {
--- a/harbourmaster/src/office.rs
+++ b/harbourmaster/src/office.rs
@@ -41,6 +41,7 @@
     Hosts,
     Duties,
     Quota,
+    Journal,
 }
 
 impl Call {
@@ -55,6 +56,7 @@
             Call::Hosts => ("GET", "/archlink/hosts"),
             Call::Duties => ("GET", "/archlink/duties"),
             Call::Quota => ("GET", "/archlink/quota"),
+            Call::Journal => ("GET", "/archlink/journal"),
         }
     }
 
@@ -140,6 +142,7 @@
         Call::Hosts => Answer::json(200, hosts(port).to_string()),
         Call::Duties => Answer::json(200, duties(port).to_string()),
         Call::Quota => Answer::json(200, quota(port).to_string()),
+        Call::Journal => Answer::json(200, journal(port).to_string()),
     }
 }
 
@@ -178,8 +181,8 @@
     let field = |name| query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name));
     let text = |name| field(name).map_or("", |(_, value)| value);
     let turn = mooring::chance() as usize;
-    let pilots =
-        port.look(|control, now| control.roster.resolve(now, text("Zone"), text("Region"), MOST, turn));
+    let pilots = port
+        .look(|control, now| control.journal.roster.resolve(now, text("Zone"), text("Region"), MOST, turn));
     if pilots.is_empty() {
         return later("no data gateway is ready");
     }
@@ -191,14 +194,14 @@
 fn members(port: &Port) -> Value {
     port.look(|control, now| {
         let voters = control.voters();
-        let keepers: Vec<Value> = (control.roster.keepers().iter())
+        let keepers: Vec<Value> = (control.journal.roster.keepers().iter())
             .map(|k| json!({"Control": k.control, "Zone": k.zone, "Votes": voters.contains(&k.node)}))
             .collect();
-        let pilots: Vec<Value> = (control.roster.pilots(now).iter())
+        let pilots: Vec<Value> = (control.journal.roster.pilots(now).iter())
             .map(|p| json!({"Front": p.front, "Zone": p.zone, "Ready": p.ready}))
             .collect();
         let whole = control.voter.whole();
-        json!({"Control": keepers, "Edge": pilots, "EdgeCounted": control.roster.counted(), "DiskWhole": whole})
+        json!({"Control": keepers, "Edge": pilots, "EdgeCounted": control.journal.roster.counted(), "DiskWhole": whole})
     })
 }
 
@@ -239,6 +242,13 @@
     json!({"Tenants": tenants, "CounterTerm": holds, "CounterNames": port.names()})
 }
 
+fn journal(port: &Port) -> Value {
+    port.look(|control, now| {
+        let line = |(at, event): &(f64, harbour::journal::Event)| json!({"SecondsAgo": now - at, "What": event.line()});
+        json!({"Events": control.journal.recent().map(line).collect::<Vec<_>>()})
+    })
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/mooring/src/lib.rs
+++ b/mooring/src/lib.rs
@@ -62,7 +62,7 @@
 /// How long a peer may be silent to what was sent it before the connection counts as dead: a machine without power says
 /// nothing, and what is kept for it would only come late.
 const UNHEARD: Duration = Duration::from_millis(1500);
-const CONNECT: Duration = Duration::from_millis(600);
+const CONNECT: Duration = Duration::from_millis(300);
 
 pub fn tune(stream: &TcpStream) {
     stream.set_nodelay(true).ok();
