A configuration without a table of routes or services is refused; errors on one line with their notes

Found by trying the command line: check took an object with a version alone for an empty configuration, and sent it would have taken all routes away. A call that did not come through said neither where nor why.

--- a/chart/src/configuration.rs
+++ b/chart/src/configuration.rs
@@ -30,9 +30,9 @@
 struct File {
     config_version: String,
     #[setting(nested)]
-    route_table: TableFile,
+    route_table: Option<TableFile>,
     #[setting(nested)]
-    service_table: TableFile,
+    service_table: Option<TableFile>,
     #[setting(nested)]
     limits: Option<LimitsFile>,
     #[setting(nested)]
@@ -193,6 +193,9 @@
                 refuse("configuration", e.to_full_string().replace('\n', " "), "a whole configuration")
             })?;
         let File { config_version, route_table, service_table, limits, subscribers } = loaded.config;
+        // A table that is not there is no empty one: it would take all routes away.
+        let there =
+            |key: &str, table: Option<TableFile>| table.ok_or_else(|| refuse(key, "nothing", "a table"));
         let mut chart = Chart {
             version: version_of(&config_version)?,
             routes: Vec::new(),
@@ -211,8 +214,8 @@
             chart.header_timeout = time(key, "HeaderTimeout", limits.header_timeout)?;
             chart.idle_timeout = time(key, "IdleTimeout", limits.idle_timeout)?;
         }
-        chart.take_services(rows("ServiceTable", service_table)?)?;
-        chart.take_routes(rows("RouteTable", route_table)?)?;
+        chart.take_services(rows("ServiceTable", there("ServiceTable", service_table)?)?)?;
+        chart.take_routes(rows("RouteTable", there("RouteTable", route_table)?)?)?;
         if let Some(table) = subscribers {
             chart.take_tenants(rows("Subscribers", table)?)?;
         }
@@ -379,6 +382,7 @@
             ("[\"m\"]", "[\"k\"]", "Subscribers.y.Credentials"),
             ("0000000c", "12x", "ConfigVersion"),
             ("[\"y\",", "[\"y\",1,", "Subscribers.Records.1"),
+            ("RouteTable", "Routes", "RouteTable"),
         ] {
             let text = WHOLE.replacen(from, to, 1);
             let refused = Chart::read(text.as_bytes()).unwrap_err();
--- a/harbourmaster/src/main.rs
+++ b/harbourmaster/src/main.rs
@@ -18,7 +18,7 @@
                 _ = term.recv() => return,
                 _ = again.recv() => match read_settings() {
                     Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
-                    Err(e) => log::error!("settings: {e:#}; what is in use stays"),
+                    Err(e) => log::error!("settings: {}; what is in use stays", mooring::told(&e)),
                 },
             }
         }
@@ -76,7 +76,7 @@
 
 fn main() {
     if let Err(e) = begin_command(&commands().get_matches()) {
-        eprintln!("archlink-harbourmaster: {e:#}");
+        eprintln!("archlink-harbourmaster: {}", mooring::told(&e));
         std::process::exit(2);
     }
 }
--- a/mooring/src/lib.rs
+++ b/mooring/src/lib.rs
@@ -28,6 +28,12 @@
     std::panic::set_hook(Box::new(|panic| log::error!("{panic}")));
 }
 
+/// An error on one line: what each layer says, and what was noted beside it.
+pub fn told<C>(report: &error_stack::Report<C>) -> String {
+    let noted = report.frames().filter_map(|frame| frame.downcast_ref::<String>());
+    noted.fold(format!("{report:#}"), |line, note| format!("{line}; {note}"))
+}
+
 /// Seconds on the steady clock since the process started.
 #[derive(Clone, Copy)]
 pub struct Clock(Instant);
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -18,7 +18,7 @@
                 _ = term.recv() => return,
                 _ = again.recv() => match read_settings() {
                     Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
-                    Err(e) => log::error!("settings: {e:#}; what is in use stays"),
+                    Err(e) => log::error!("settings: {}; what is in use stays", mooring::told(&e)),
                 },
             }
         }
@@ -40,7 +40,7 @@
     let about = "The data plane of archlink: reads the file that ARCHLINK_CONFIG names and serves clients";
     Command::new("archlink-pilot").version(env!("CARGO_PKG_VERSION")).about(about).get_matches();
     if let Err(e) = begin() {
-        eprintln!("archlink-pilot: {e:#}");
+        eprintln!("archlink-pilot: {}", mooring::told(&e));
         std::process::exit(2);
     }
 }
