What both programs and both planes share stands once: signals, settings file, zones, stamps

Found on the last read of the whole change: the programs had twin code for signals and for the settings file, and a data gateway its own reading of the evacuations' value and of the control gateways' stamp. Change: one piece each in mooring and signal. Behaviour as before, but for the settings file's name in its error.

--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -6,7 +6,7 @@
 
 use crate::{Act, majority};
 use bytes::Bytes;
-use signal::{Ballot, Held, Node, REGISTERS, Register, Word};
+use signal::{Ballot, Held, Node, REGISTERS, Register, Word, evacuated, evacuations};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long a change is tried: callers move on after a second of silence.
@@ -66,8 +66,7 @@
                 } else {
                     zones.remove(zone)
                 };
-                let value = zones.into_iter().collect::<Vec<_>>().join("\n").into();
-                Some((held.map_or(0, |held| held.stamp) + 1, value))
+                Some((held.map_or(0, |held| held.stamp) + 1, evacuations(zones)))
             }
             Change::Found(set) if held.is_none() => {
                 Some((1, set.iter().map(Node::to_string).collect::<Vec<_>>().join("\n").into()))
@@ -77,11 +76,6 @@
     }
 }
 
-/// The zones in a value of the register of evacuations.
-pub fn evacuated(value: &[u8]) -> BTreeSet<String> {
-    String::from_utf8_lossy(value).lines().map(str::to_string).collect()
-}
-
 #[derive(Clone, Debug)]
 struct Wish {
     change: Change,
--- a/harbour/src/roster.rs
+++ b/harbour/src/roster.rs
@@ -141,9 +141,7 @@
 
     /// Changes with the set of control gateways.
     pub fn keepers_stamp(&self) -> u64 {
-        self.keepers.keys().fold(self.keepers.len() as u64, |sum, &node| {
-            sum.wrapping_mul(0x0100_0000_01b3).wrapping_add(u64::from(node))
-        })
+        signal::keepers_stamp(self.keepers.keys().copied())
     }
 
     /// Where a client in that zone should go, nearest first: its zone's data gateways, and its region's where the zone has
--- a/harbourmaster/src/lib.rs
+++ b/harbourmaster/src/lib.rs
@@ -18,7 +18,7 @@
 use signal::Keeper;
 use std::fmt;
 use std::net::{SocketAddr, SocketAddrV4};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -62,16 +62,9 @@
 
 pub type Outcome<T> = Result<T, Report<MasterError>>;
 
-fn settings_path() -> PathBuf {
-    std::env::var_os("ARCHLINK_CONFIG").map_or_else(|| "/etc/archlink/settings.json".into(), PathBuf::from)
-}
-
 /// The settings file that `ARCHLINK_CONFIG` names, checked.
 pub fn read_settings() -> Outcome<Settings> {
-    let path = settings_path();
-    let text = std::fs::read_to_string(&path)
-        .change_context(MasterError::Settings)
-        .attach_with(|| path.display().to_string())?;
+    let text = mooring::settings_text().change_context(MasterError::Settings)?;
     Settings::read(&text).change_context(MasterError::Settings)
 }
 
--- a/harbourmaster/src/main.rs
+++ b/harbourmaster/src/main.rs
@@ -5,24 +5,15 @@
 use archlink_harbourmaster::{MasterError, Outcome, desk, read_settings, serve};
 use clap::{Arg, ArgMatches, Command};
 use error_stack::ResultExt;
+use mooring::until_told;
 use tokio::runtime::LocalOptions;
-use tokio::signal::unix::{SignalKind, signal};
 
-/// Ends with SIGTERM. SIGHUP has the settings read and checked again; what is in use stays until the next start.
-async fn told_to_leave() -> Outcome<impl Future<Output = ()>> {
-    let mut term = signal(SignalKind::terminate()).change_context(MasterError::Start)?;
-    let mut again = signal(SignalKind::hangup()).change_context(MasterError::Start)?;
-    Ok(async move {
-        loop {
-            tokio::select! {
-                _ = term.recv() => return,
-                _ = again.recv() => match read_settings() {
-                    Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
-                    Err(e) => log::error!("settings: {}; what is in use stays", mooring::told(&e)),
-                },
-            }
-        }
-    })
+/// SIGHUP has the settings read and checked again; what is in use stays until the next start.
+fn read_again() {
+    match read_settings() {
+        Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
+        Err(e) => log::error!("settings: {}; what is in use stays", mooring::told(&e)),
+    }
 }
 
 fn on_runtime<T>(work: impl Future<Output = Outcome<T>>) -> Outcome<T> {
@@ -68,7 +59,9 @@
             let settings = read_settings()?;
             let level = std::env::var("ARCHLINK_LOG").ok().and_then(|l| l.parse().ok());
             mooring::log_to_stderr(&settings.name, level.unwrap_or(log::LevelFilter::Info));
-            on_runtime(async { serve(settings, told_to_leave().await?).await })
+            on_runtime(async {
+                serve(settings, until_told(read_again).change_context(MasterError::Start)?).await
+            })
         }
         Some((name, below)) => on_runtime(desk::command(name, below)),
     }
--- a/mooring/src/lib.rs
+++ b/mooring/src/lib.rs
@@ -8,8 +8,10 @@
 use std::hash::{BuildHasher, Hasher};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
@@ -52,6 +54,28 @@
     }
 }
 
+/// The text of the settings file that `ARCHLINK_CONFIG` names; an error names the file.
+pub fn settings_text() -> io::Result<String> {
+    let usual = || PathBuf::from("/etc/archlink/settings.json");
+    let path = std::env::var_os("ARCHLINK_CONFIG").map_or_else(usual, PathBuf::from);
+    let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
+    std::fs::read_to_string(&path).map_err(named)
+}
+
+/// Ends with SIGTERM; SIGHUP calls `again`.
+pub fn until_told(again: impl Fn()) -> io::Result<impl Future<Output = ()>> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    Ok(async move {
+        loop {
+            tokio::select! {
+                _ = term.recv() => return,
+                _ = hangup.recv() => again(),
+            }
+        }
+    })
+}
+
 /// A number that differs from start to start.
 pub fn chance() -> u64 {
     RandomState::new().build_hasher().finish()
--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -8,9 +8,11 @@
 use fairway::kept::Kept;
 use fairway::plain::CallerSide;
 use mooring::Clock;
-use signal::{Add, Beat, Duty, Keeper, Node, Piece, Pilot, Post, Register, Vector, pack};
+use signal::{
+    Add, Beat, Duty, Keeper, Node, Piece, Pilot, Post, Register, Vector, evacuated, keepers_stamp, pack,
+};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use tally::asker::{Asker, Quota, Verdict};
@@ -199,8 +201,7 @@
                 Piece::Chosen(Register::Evacuations, held)
                     if held.stamp > self.vector.borrow().evacuations =>
                 {
-                    let zones: BTreeSet<String> =
-                        String::from_utf8_lossy(&held.value).lines().map(str::to_string).collect();
+                    let zones = evacuated(&held.value);
                     log::info!("evacuated zones: {zones:?}");
                     self.berth.borrow_mut().set_evacuated(now, zones);
                     self.vector.borrow_mut().evacuations = held.stamp;
@@ -211,9 +212,7 @@
                     self.vector.borrow_mut().hosts = (hosts.term, hosts.version);
                 }
                 Piece::Keepers(keepers) => {
-                    let stamp = keepers.iter().map(|k| k.node).fold(keepers.len() as u64, |sum, node| {
-                        sum.wrapping_mul(0x0100_0000_01b3).wrapping_add(u64::from(node))
-                    });
+                    let stamp = keepers_stamp(keepers.iter().map(|k| k.node));
                     self.vector.borrow_mut().keepers = stamp;
                     *self.keepers.borrow_mut() = keepers;
                 }
--- a/pilot/src/lib.rs
+++ b/pilot/src/lib.rs
@@ -19,7 +19,6 @@
 use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -66,11 +65,7 @@
 
 /// The settings file that `ARCHLINK_CONFIG` names, checked.
 pub fn read_settings() -> Outcome<Settings> {
-    let path = std::env::var_os("ARCHLINK_CONFIG")
-        .map_or_else(|| "/etc/archlink/settings.json".into(), PathBuf::from);
-    let text = std::fs::read_to_string(&path)
-        .change_context(PilotError::Settings)
-        .attach_with(|| path.display().to_string())?;
+    let text = mooring::settings_text().change_context(PilotError::Settings)?;
     Settings::read(&text).change_context(PilotError::Settings)
 }
 
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -5,24 +5,15 @@
 use archlink_pilot::{Outcome, PilotError, read_settings, serve};
 use clap::Command;
 use error_stack::ResultExt;
+use mooring::until_told;
 use tokio::runtime::LocalOptions;
-use tokio::signal::unix::{SignalKind, signal};
 
-/// Ends with SIGTERM. SIGHUP has the settings read and checked again; what is in use stays until the next start.
-async fn told_to_leave() -> Outcome<impl Future<Output = ()>> {
-    let mut term = signal(SignalKind::terminate()).change_context(PilotError::Start)?;
-    let mut again = signal(SignalKind::hangup()).change_context(PilotError::Start)?;
-    Ok(async move {
-        loop {
-            tokio::select! {
-                _ = term.recv() => return,
-                _ = again.recv() => match read_settings() {
-                    Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
-                    Err(e) => log::error!("settings: {}; what is in use stays", mooring::told(&e)),
-                },
-            }
-        }
-    })
+/// SIGHUP has the settings read and checked again; what is in use stays until the next start.
+fn read_again() {
+    match read_settings() {
+        Ok(read) => log::info!("settings read again: {} seeds; what is in use stays", read.seeds.len()),
+        Err(e) => log::error!("settings: {}; what is in use stays", mooring::told(&e)),
+    }
 }
 
 fn begin() -> Outcome<()> {
@@ -32,7 +23,9 @@
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime =
         builder.enable_all().build_local(LocalOptions::default()).change_context(PilotError::Start)?;
-    runtime.block_on(async { serve(settings, told_to_leave().await?).await })?;
+    runtime.block_on(async {
+        serve(settings, until_told(read_again).change_context(PilotError::Start)?).await
+    })?;
     std::process::exit(0)
 }
 
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddrV4;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -51,6 +52,15 @@
     pub held: Option<Held>,
 }
 
+/// The zones in a value of the register of evacuations, and the value of a set of zones.
+pub fn evacuated(value: &[u8]) -> BTreeSet<String> {
+    String::from_utf8_lossy(value).lines().map(str::to_string).collect()
+}
+
+pub fn evacuations(zones: BTreeSet<String>) -> Bytes {
+    zones.into_iter().collect::<Vec<_>>().join("\n").into()
+}
+
 /// What one control gateway does for all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Duty {
@@ -71,6 +81,12 @@
     pub control: SocketAddrV4,
 }
 
+/// Tells one set of control gateways from another; the nodes in their order.
+pub fn keepers_stamp(nodes: impl ExactSizeIterator<Item = Node>) -> u64 {
+    let count = nodes.len() as u64;
+    nodes.fold(count, |sum, node| sum.wrapping_mul(0x0100_0000_01b3).wrapping_add(u64::from(node)))
+}
+
 /// A data gateway; `ready` to be sent clients.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pilot {
