--- a/tally/src/asker.rs
+++ b/tally/src/asker.rs
@@ -213,11 +213,6 @@
         !self.hands.adds.is_empty()
     }
 
-    /// Calls out.
-    pub fn out(&self) -> usize {
-        self.calls.len()
-    }
-
     /// Is there room for more calls?
     pub fn has_room(&self) -> bool {
         self.calls.len() + self.hands.adds.len() < MOST_CALLS
