A data gateway's views and session are a core of their own, free of I/O

Data gateways now hear who else may be at work (a list with a stamp in the vector) in place of a bare count in each beat.

--- a/berth/src/choice.rs
+++ b/berth/src/choice.rs
@@ -3,7 +3,7 @@
 //! the region and the region before the rest by what the way costs. Must never choose a host that leaves, whose zone is
 //! evacuated or that lies outside a request's homes, nor give a cold one more than this gateway's part.
 
-use signal::HostLine;
+use signal::{HostLine, Node};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 
@@ -122,6 +122,8 @@
     by_service: HashMap<String, Vec<u64>>,
     services: HashMap<String, ServiceTerms>,
     evacuated: BTreeSet<String>,
+    /// This gateway and all that may be at work.
+    me: Node,
     gateways: u32,
     chance: oorandom::Rand64,
     next: u64,
@@ -129,6 +131,7 @@
 
 impl Berth {
     pub fn new(
+        me: Node,
         zone: String,
         region: String,
         zones: HashMap<String, String>,
@@ -136,6 +139,7 @@
         seed: u64,
     ) -> Berth {
         Berth {
+            me,
             zone,
             region,
             zones,
@@ -152,8 +156,8 @@
     }
 
     /// Data gateways that may be at work.
-    pub fn set_gateways(&mut self, gateways: u32) {
-        self.gateways = gateways;
+    pub fn set_gateways(&mut self, gateways: &[Node]) {
+        self.gateways = gateways.len() as u32;
     }
 
     pub fn set_services(&mut self, services: HashMap<String, ServiceTerms>) {
--- a/berth/tests/choice.rs
+++ b/berth/tests/choice.rs
@@ -14,8 +14,8 @@
 fn berth() -> Berth {
     let zones = [("a", "x"), ("b", "x"), ("c", "y")].map(|(z, r)| (z.to_string(), r.to_string()));
     let cold = ColdRule { overrun: 1.5, slack: 5.0 };
-    let mut berth = Berth::new("a".into(), "x".into(), HashMap::from(zones), cold, 7);
-    berth.set_gateways(9);
+    let mut berth = Berth::new(1, "a".into(), "x".into(), HashMap::from(zones), cold, 7);
+    berth.set_gateways(&[1, 2, 3, 4, 5, 6, 7, 8, 9]);
     berth.set_services([("s".into(), ServiceTerms { cold_rate: 10.0, cold_period: 3.0 })].into());
     berth
 }
--- /dev/null
+++ b/bridge/src/session.rs
@@ -0,0 +1,213 @@
+//! A data gateway's session with a control gateway: which one to call, when to hail it, what to pull, and when to leave it
+//! for another. Must never ask for a thing twice while it is on its way, nor stay with a control gateway that is silent or
+//! that no majority answers.
+
+use crate::views::{Event, Turn, Views};
+use signal::{Node, Pilot, Word};
+use std::collections::HashMap;
+
+/// Between two signs of life.
+const HAIL_EVERY: f64 = 0.4;
+/// Three hails without an answer: the control gateway is left.
+const SILENT: f64 = 1.3;
+/// A control gateway that no majority has answered for so long is cut off itself: another may not be.
+const STALE: f64 = 2.0;
+/// What was asked for and has not come is asked for again after this.
+const PULL_AGAIN: f64 = 1.0;
+/// A control gateway that failed is called after all others for so long.
+const SHUN: f64 = 5.0;
+/// How long a session in another zone stands before a nearer control gateway is tried again.
+const NEARER: f64 = 10.0;
+/// Between the end of one session and the next call.
+const AGAIN: f64 = 0.1;
+/// News is passed on this soon: what comes at once goes in one hail.
+const SOON: f64 = 0.02;
+
+/// How far a control gateway is: the own zone, the own region, elsewhere, or only its address is known.
+const UNPLACED: u8 = 3;
+
+/// What the driver is to do.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Open a connection to this control gateway and tell `called` what came of it.
+    Call(Node),
+    HangUp,
+    Send(Word),
+    /// A line for the log.
+    Warn(String),
+}
+
+/// Where a data gateway stands, and the control gateways that it was told of at its start.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub node: Node,
+    pub zone: String,
+    pub region: String,
+    pub seeds: Vec<Node>,
+}
+
+struct Standing {
+    node: Node,
+    far: u8,
+    began: f64,
+    heard: f64,
+    /// When a majority was last known to answer it.
+    fresh: f64,
+    pulled: f64,
+    /// Hails out, by number, with the time of each.
+    sent: HashMap<u64, f64>,
+    hail_at: f64,
+}
+
+enum Phase {
+    Resting(f64),
+    Calling(Node, u8),
+    Standing(Box<Standing>),
+}
+
+pub struct Session {
+    place: Place,
+    phase: Phase,
+    failed: HashMap<Node, f64>,
+    serial: u64,
+}
+
+impl Session {
+    pub fn new(place: Place) -> Session {
+        Session { place, phase: Phase::Resting(f64::NEG_INFINITY), failed: HashMap::new(), serial: 0 }
+    }
+
+    /// Control gateways, those to call first at the front, with how far each is.
+    fn order(&self, now: f64, views: &Views) -> Vec<(Node, u8)> {
+        let far = |k: &signal::Keeper| {
+            if k.zone == self.place.zone { 0 } else { 1 + u8::from(k.region != self.place.region) }
+        };
+        let mut all: Vec<(Node, u8)> = views.keepers().iter().map(|k| (k.node, far(k))).collect();
+        for &node in &self.place.seeds {
+            if !all.iter().any(|(known, _)| *known == node) {
+                all.push((node, UNPLACED));
+            }
+        }
+        let shunned = |node: &Node| self.failed.get(node).is_some_and(|at| now < *at + SHUN);
+        // Among equals each data gateway has an order of its own, so that they don't all call the same one.
+        let own = |node: &Node| (node ^ self.place.node).wrapping_mul(0x9e37_79b9);
+        all.sort_by_key(|(node, far)| (shunned(node), *far, own(node)));
+        all
+    }
+
+    /// When to call `tick`.
+    pub fn wake_at(&self) -> f64 {
+        match &self.phase {
+            Phase::Resting(until) => *until,
+            Phase::Calling(..) => f64::INFINITY,
+            Phase::Standing(standing) => standing.hail_at,
+        }
+    }
+
+    /// The control gateway in session with this gateway.
+    pub fn with(&self) -> Option<Node> {
+        if let Phase::Standing(standing) = &self.phase { Some(standing.node) } else { None }
+    }
+
+    /// What a hail carries has changed.
+    pub fn hurry(&mut self, now: f64) {
+        if let Phase::Standing(standing) = &mut self.phase {
+            standing.hail_at = standing.hail_at.min(now + SOON);
+        }
+    }
+
+    fn end(&mut self, now: f64, node: Node, why: &str) -> Vec<Act> {
+        self.failed.insert(node, now);
+        self.phase = Phase::Resting(now + AGAIN);
+        let name = std::net::Ipv4Addr::from(node);
+        vec![Act::HangUp, Act::Warn(format!("session with {name} ended: {why}"))]
+    }
+
+    /// What came of a call.
+    pub fn called(&mut self, now: f64, result: Result<(), String>) -> Vec<Act> {
+        let Phase::Calling(node, far) = self.phase else { return Vec::new() };
+        if let Err(why) = result {
+            return self.end(now, node, &why);
+        }
+        let (began, heard, fresh, hail_at) = (now, now, now, now);
+        let (pulled, sent) = (f64::NEG_INFINITY, HashMap::new());
+        let standing = Standing { node, far, began, heard, fresh, pulled, sent, hail_at };
+        self.phase = Phase::Standing(Box::new(standing));
+        Vec::new()
+    }
+
+    /// The connection ended.
+    pub fn lost(&mut self, now: f64, why: &str) -> Vec<Act> {
+        match self.with() {
+            Some(node) => self.end(now, node, why),
+            None => Vec::new(),
+        }
+    }
+
+    /// A word of the control gateway; what it turned goes with the acts.
+    pub fn hear(&mut self, now: f64, word: Word, views: &mut Views) -> (Vec<Act>, Vec<Turn>) {
+        let Phase::Standing(standing) = &mut self.phase else { return Default::default() };
+        match word {
+            Word::Beat(beat) => {
+                let asked = standing.sent.remove(&beat.serial);
+                if asked.is_some() {
+                    standing.heard = now;
+                    standing.sent.retain(|number, _| *number > beat.serial);
+                }
+                if beat.confirmed.is_some_and(|age| age < STALE) {
+                    standing.fresh = now;
+                }
+                let lacks = views.lacks(&beat.vector);
+                let turns = views.append(now, Event::Heard { beat, asked });
+                // What is on its way is not asked for twice: a narrow link would carry it twice.
+                if lacks && now > standing.pulled + PULL_AGAIN {
+                    standing.pulled = now;
+                    return (vec![Act::Send(Word::Pull(views.vector().clone()))], turns);
+                }
+                (Vec::new(), turns)
+            }
+            Word::News(pieces) => {
+                standing.pulled = f64::NEG_INFINITY;
+                // What it vouched for may be held only now.
+                standing.hail_at = now;
+                let told = pieces.into_iter().flat_map(|piece| views.append(now, Event::Told(piece)));
+                (Vec::new(), told.collect())
+            }
+            _ => Default::default(),
+        }
+    }
+
+    /// `pilot` is what this gateway says of itself.
+    pub fn tick(&mut self, now: f64, views: &Views, pilot: impl FnOnce() -> Pilot) -> Vec<Act> {
+        if now < self.wake_at() {
+            return Vec::new();
+        }
+        if let Phase::Resting(_) = self.phase {
+            let Some(&(node, far)) = self.order(now, views).first() else {
+                self.phase = Phase::Resting(now + AGAIN);
+                return Vec::new();
+            };
+            self.phase = Phase::Calling(node, far);
+            return vec![Act::Call(node)];
+        }
+        let nearest = self.order(now, views).first().map(|(_, far)| *far);
+        let Phase::Standing(standing) = &mut self.phase else { return Vec::new() };
+        let node = standing.node;
+        if now > standing.heard + SILENT {
+            return self.end(now, node, "it is silent");
+        }
+        if now > standing.fresh + STALE {
+            return self.end(now, node, "no majority answers it");
+        }
+        let nearer = nearest.is_some_and(|first| first < standing.far);
+        if nearer && (now > standing.began + NEARER || standing.far == UNPLACED) {
+            self.phase = Phase::Resting(now);
+            return vec![Act::HangUp];
+        }
+        self.serial += 1;
+        standing.sent.insert(self.serial, now);
+        standing.hail_at = now + HAIL_EVERY;
+        let (serial, clock, terms) = (self.serial, views.clock(now), views.posts().to_vec());
+        vec![Act::Send(Word::Hail { serial, pilot: pilot(), clock, terms })]
+    }
+}
--- /dev/null
+++ b/bridge/src/views.rs
@@ -0,0 +1,231 @@
+//! What a data gateway knows, folded from a journal of what it heard: the configuration in force and how long it is vouched
+//! for, the hosts, the control gateways, the other data gateways, who holds which duty, and the fleet's clock. Owns the
+//! vector of versions by which it pulls what it lacks. Must never go back to an older version, nor vouch for a
+//! configuration that it does not hold.
+
+use chart::Chart;
+use signal::{Beat, Duty, Keeper, Node, Piece, Post, Register, Vector, evacuated, nodes_stamp, pack};
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+
+/// Events kept, for operators to look at.
+const MOST: usize = 64;
+
+/// What happened.
+#[derive(Debug)]
+pub enum Event {
+    /// A control gateway's sign of life; `asked` is when the hail was sent that it answers.
+    Heard { beat: Beat, asked: Option<f64> },
+    /// Something that was lacking here.
+    Told(Piece),
+}
+
+/// What an event changed.
+#[derive(Clone, Debug)]
+pub enum Turn {
+    Chart(Rc<Chart>),
+    Evacuated(BTreeSet<String>),
+    Hosts(signal::Hosts),
+    /// Who else carries traffic.
+    Pilots,
+    Keepers,
+    /// Who holds a duty.
+    Posts,
+    /// Whether keys may be served.
+    Vouched,
+    /// What was told can't be used; the text says why.
+    Unusable(String),
+}
+
+impl Turn {
+    /// One line for people.
+    fn line(&self) -> String {
+        match self {
+            Turn::Chart(chart) => format!("configuration {:08x} is in force", chart.version),
+            Turn::Evacuated(zones) => format!("evacuated zones: {zones:?}"),
+            Turn::Hosts(hosts) => format!("list {}.{}: {} hosts", hosts.term, hosts.version, hosts.lines.len()),
+            Turn::Pilots => "other data gateways".to_string(),
+            Turn::Keepers => "other control gateways".to_string(),
+            Turn::Posts => "a duty moved".to_string(),
+            Turn::Vouched => "vouched for, or no more".to_string(),
+            Turn::Unusable(why) => why.clone(),
+        }
+    }
+}
+
+/// `lease` is for how long a majority's word that a configuration is the newest holds, in seconds.
+pub struct Views {
+    lease: f64,
+    events: VecDeque<(f64, String)>,
+    chart: Option<Rc<Chart>>,
+    /// Its text, on which the next one comes as a patch.
+    text: Vec<u8>,
+    vouched: f64,
+    vector: Vector,
+    posts: Vec<Post>,
+    keepers: Vec<Keeper>,
+    pilots: Vec<Node>,
+    /// The fleet's clock is the own steady one and this.
+    ahead: f64,
+}
+
+impl Views {
+    pub fn new(lease: f64) -> Views {
+        Views {
+            lease,
+            events: VecDeque::new(),
+            chart: None,
+            text: Vec::new(),
+            vouched: f64::NEG_INFINITY,
+            vector: Vector::default(),
+            posts: Vec::new(),
+            keepers: Vec::new(),
+            pilots: Vec::new(),
+            ahead: 0.0,
+        }
+    }
+
+    /// Appends what happened and folds it; gives back what it changed.
+    pub fn append(&mut self, now: f64, event: Event) -> Vec<Turn> {
+        let turns = match event {
+            Event::Heard { beat, asked } => self.heard(now, &beat, asked),
+            Event::Told(piece) => self.told(piece).into_iter().collect(),
+        };
+        for turn in &turns {
+            if self.events.len() >= MOST {
+                self.events.pop_front();
+            }
+            self.events.push_back((now, turn.line()));
+        }
+        turns
+    }
+
+    /// The last events that changed something, oldest first.
+    pub fn recent(&self) -> impl Iterator<Item = &(f64, String)> {
+        self.events.iter()
+    }
+
+    pub fn chart(&self) -> Option<Rc<Chart>> {
+        self.chart.clone()
+    }
+
+    /// May keys be served by the configuration that is held?
+    pub fn vouched(&self, now: f64) -> bool {
+        now < self.vouched
+    }
+
+    pub fn vector(&self) -> &Vector {
+        &self.vector
+    }
+
+    pub fn posts(&self) -> &[Post] {
+        &self.posts
+    }
+
+    pub fn keepers(&self) -> &[Keeper] {
+        &self.keepers
+    }
+
+    /// All data gateways that may be at work, this one among them, in the order of their numbers; empty is not known yet.
+    pub fn pilots(&self) -> &[Node] {
+        &self.pilots
+    }
+
+    /// Who holds the counts, and in which term.
+    pub fn counter(&self) -> Option<(Node, u64)> {
+        self.posts.iter().find(|post| post.duty == Duty::Tally).map(|post| (post.holder, post.term))
+    }
+
+    pub fn clock(&self, now: f64) -> f64 {
+        now + self.ahead
+    }
+
+    /// The fleet's clock never goes back.
+    pub fn heard_clock(&mut self, now: f64, clock: f64) {
+        if clock.is_finite() {
+            self.ahead = self.ahead.max(clock - now);
+        }
+    }
+
+    /// How far the fleet's clock is ahead of the own one.
+    pub fn ahead(&self) -> f64 {
+        self.ahead
+    }
+
+    /// Does that vector name anything that is lacking here?
+    pub fn lacks(&self, theirs: &Vector) -> bool {
+        let mine = &self.vector;
+        theirs.chart > mine.chart
+            || theirs.evacuations > mine.evacuations
+            || theirs.hosts > mine.hosts
+            || theirs.keepers != mine.keepers
+            || (theirs.pilots != mine.pilots && theirs.pilots != 0)
+    }
+
+    fn heard(&mut self, now: f64, beat: &Beat, asked: Option<f64>) -> Vec<Turn> {
+        self.heard_clock(now, beat.clock);
+        let mut turns = Vec::new();
+        for post in &beat.posts {
+            match self.posts.iter_mut().find(|known| known.duty == post.duty) {
+                Some(known) if known.term >= post.term => continue,
+                Some(known) => *known = *post,
+                None => self.posts.push(*post),
+            }
+            turns.push(Turn::Posts);
+        }
+        // It vouches only for what is held here: a newer one has to be pulled first.
+        let confirmed = beat.confirmed.filter(|_| beat.vector.chart == self.vector.chart);
+        if let (Some(asked), Some(age)) = (asked, confirmed) {
+            let before = self.vouched(now);
+            self.vouched = self.vouched.max(asked - age.max(0.0) + self.lease);
+            turns.extend((before != self.vouched(now)).then_some(Turn::Vouched));
+        }
+        turns
+    }
+
+    fn told(&mut self, piece: Piece) -> Option<Turn> {
+        match piece {
+            Piece::Chart { stamp, base, packed } if stamp > self.vector.chart => {
+                self.unpack(stamp, base, &packed)
+            }
+            Piece::Chosen(Register::Evacuations, held) if held.stamp > self.vector.evacuations => {
+                self.vector.evacuations = held.stamp;
+                Some(Turn::Evacuated(evacuated(&held.value)))
+            }
+            Piece::Hosts(hosts) if (hosts.term, hosts.version) > self.vector.hosts => {
+                self.vector.hosts = (hosts.term, hosts.version);
+                Some(Turn::Hosts(hosts))
+            }
+            Piece::Keepers(keepers) => {
+                self.vector.keepers = nodes_stamp(keepers.iter().map(|k| k.node));
+                self.keepers = keepers;
+                Some(Turn::Keepers)
+            }
+            Piece::Pilots(pilots) => {
+                self.vector.pilots = nodes_stamp(pilots.iter().copied());
+                self.pilots = pilots;
+                Some(Turn::Pilots)
+            }
+            _ => None,
+        }
+    }
+
+    fn unpack(&mut self, stamp: u64, base: u64, packed: &[u8]) -> Option<Turn> {
+        if base != 0 && base != self.vector.chart {
+            // Made for what was held when it was asked for: the next beat has it asked for again.
+            return None;
+        }
+        let text = match pack::unpack(packed, if base == 0 { b"" } else { &self.text }) {
+            Ok(text) => text,
+            Err(e) => return Some(Turn::Unusable(format!("a configuration can't be unpacked: {e}"))),
+        };
+        match Chart::read(&text) {
+            Ok(chart) => {
+                let chart = Rc::new(chart);
+                (self.text, self.vector.chart, self.chart) = (text, stamp, Some(chart.clone()));
+                Some(Turn::Chart(chart))
+            }
+            Err(e) => Some(Turn::Unusable(format!("a configuration that was chosen can't be read: {e}"))),
+        }
+    }
+}
--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -119,13 +119,19 @@
         Word::Greet { keeper: self.journal.roster.keeper.clone(), voters: self.voters.clone() }
     }
 
-    pub fn vector(&self) -> Vector {
+    fn knows_pilots(&self, now: f64) -> bool {
+        now > self.began + KNOWS_PILOTS
+    }
+
+    pub fn vector(&self, now: f64) -> Vector {
         let stamp = |register| self.helm.chosen(register).map_or(0, |held| held.stamp);
         Vector {
             chart: stamp(Register::Chart),
             evacuations: stamp(Register::Evacuations),
             hosts: (self.journal.hosts.term, self.journal.hosts.version),
             keepers: self.journal.roster.keepers_stamp(),
+            // Who has only started does not know of all: too few would make shares too large.
+            pilots: if self.knows_pilots(now) { self.journal.roster.counted_stamp() } else { 0 },
             sessions: self.journal.roster.vector(),
         }
     }
@@ -136,16 +142,14 @@
             serial,
             clock: self.clock(now),
             confirmed: self.helm.confirmed(Register::Chart).map(|at| now - at),
-            vector: self.vector(),
+            vector: self.vector(now),
             posts: self.duties.posts(now),
-            // Who has only started does not know of all: too few would make shares too large.
-            pilots: if now > self.began + KNOWS_PILOTS { self.journal.roster.counted() } else { 0 },
             voters: self.voters.clone(),
         })
     }
 
     /// What somebody with that vector lacks of what is held here.
-    pub fn lacking(&self, theirs: &Vector, sessions: bool) -> Vec<Piece> {
+    pub fn lacking(&self, now: f64, theirs: &Vector, sessions: bool) -> Vec<Piece> {
         let mut pieces = Vec::new();
         for (register, stamp) in
             [(Register::Chart, theirs.chart), (Register::Evacuations, theirs.evacuations)]
@@ -163,6 +167,10 @@
         if self.journal.roster.keepers_stamp() != theirs.keepers {
             pieces.push(Piece::Keepers(self.journal.roster.keepers()));
         }
+        // Data gateways hear who else there is, control gateways of sessions.
+        if !sessions && self.knows_pilots(now) && self.journal.roster.counted_stamp() != theirs.pilots {
+            pieces.push(Piece::Pilots(self.journal.roster.counted()));
+        }
         let own = self.journal.roster.sessions();
         if sessions && !theirs.sessions.contains(&(own.source, own.boot, own.version)) {
             pieces.push(Piece::Sessions(own));
@@ -171,8 +179,8 @@
     }
 
     /// Does that vector, of `from`, name anything that is not held here?
-    fn lacks(&self, from: Node, theirs: &Vector) -> bool {
-        let mine = self.vector();
+    fn lacks(&self, now: f64, from: Node, theirs: &Vector) -> bool {
+        let mine = self.vector(now);
         let theirs_own = theirs.sessions.iter().find(|(node, _, _)| *node == from);
         theirs.chart > mine.chart
             || theirs.evacuations > mine.evacuations
@@ -194,7 +202,7 @@
                 }
                 Piece::Sessions(sessions) => drop(self.journal.append(now, Event::Told(sessions))),
                 // For data gateways alone.
-                Piece::Chart { .. } => {}
+                Piece::Chart { .. } | Piece::Pilots(_) => {}
             }
         }
         acts
@@ -256,12 +264,12 @@
                 self.told_voters(&beat.voters);
                 self.journal.append(now, Event::Heard(from));
                 beat.posts.iter().for_each(|&post| self.duties.told(now, from, post));
-                match self.lacks(from, &beat.vector) {
-                    true => vec![Act::Send(from, Word::Pull(self.vector()))],
+                match self.lacks(now, from, &beat.vector) {
+                    true => vec![Act::Send(from, Word::Pull(self.vector(now)))],
                     false => Vec::new(),
                 }
             }
-            Word::Pull(theirs) => match self.lacking(&theirs, true) {
+            Word::Pull(theirs) => match self.lacking(now, &theirs, true) {
                 pieces if pieces.is_empty() => Vec::new(),
                 pieces => vec![Act::Send(from, Word::News(pieces))],
             },
--- a/harbour/src/roster.rs
+++ b/harbour/src/roster.rs
@@ -112,9 +112,14 @@
         [(self.keeper.node, self.boot, self.version)].into_iter().chain(others).collect()
     }
 
-    /// Data gateways that may be at work: the members, and those lost lately.
-    pub fn counted(&self) -> u32 {
-        self.counted.len() as u32
+    /// Data gateways that may be at work, the members and those lost lately, in the order of their numbers.
+    pub fn counted(&self) -> Vec<Node> {
+        self.counted.keys().copied().collect()
+    }
+
+    /// Changes with the set of data gateways that may be at work.
+    pub fn counted_stamp(&self) -> u64 {
+        signal::nodes_stamp(self.counted.keys().copied())
     }
 
     /// All data gateways with a standing session anywhere; of two words about one, the own comes first.
@@ -141,7 +146,7 @@
 
     /// Changes with the set of control gateways.
     pub fn keepers_stamp(&self) -> u64 {
-        signal::keepers_stamp(self.keepers.keys().copied())
+        signal::nodes_stamp(self.keepers.keys().copied())
     }
 
     /// Where a client in that zone should go, nearest first: its zone's data gateways, and its region's where the zone has
--- a/harbourmaster/src/office.rs
+++ b/harbourmaster/src/office.rs
@@ -201,7 +201,7 @@
             .map(|p| json!({"Front": p.front, "Zone": p.zone, "Ready": p.ready}))
             .collect();
         let whole = control.voter.whole();
-        json!({"Control": keepers, "Edge": pilots, "EdgeCounted": control.journal.roster.counted(), "DiskWhole": whole})
+        json!({"Control": keepers, "Edge": pilots, "EdgeCounted": control.journal.roster.counted().len(), "DiskWhole": whole})
     })
 }
 
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -179,7 +179,7 @@
 
     /// What a data gateway lacks; the configuration as a patch on the one that it holds, where that is still known here.
     pub fn lacking(&self, theirs: &Vector) -> Vec<Piece> {
-        let mut pieces = self.look(|control, _| control.lacking(theirs, false));
+        let mut pieces = self.look(|control, now| control.lacking(now, theirs, false));
         for piece in &mut pieces {
             if let Piece::Chosen(Register::Chart, held) = piece {
                 *piece = self.patch(held, theirs.chart);
--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -1,16 +1,15 @@
-//! What a data gateway knows, in one place: the configuration in force and how long keys may be served by it, hosts, shares
-//! and budgets, and the way to the counter. Owns the views that news is folded into. Must never block or wait: tasks look,
-//! step, and go on.
+//! What a request meets at a data gateway, in one place: the views of configuration and fleet, hosts, shares and budgets,
+//! and the way to the counter. Owns how news is handed to those that go by it. Must never block or wait: tasks look, step,
+//! and go on.
 
 use berth::budget::{Budget, Rule};
 use berth::choice::{Berth, ColdRule, ServiceTerms};
+use bridge::views::{Turn, Views};
 use chart::{Chart, Settings, Tenant};
 use fairway::kept::Kept;
 use fairway::plain::CallerSide;
 use mooring::Clock;
-use signal::{
-    Add, Beat, Duty, Keeper, Node, Piece, Pilot, Post, Register, Vector, evacuated, keepers_stamp, pack,
-};
+use signal::{Add, Node, Pilot};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -28,22 +27,12 @@
     pub settings: Settings,
     pub clock: Clock,
     pub kept: Rc<Kept<CallerSide>>,
-    chart: RefCell<Option<Rc<Chart>>>,
-    /// Its text, on which the next one comes as a patch.
-    text: RefCell<Vec<u8>>,
-    /// Until when a majority has vouched for the configuration held here.
-    vouched: Cell<f64>,
+    pub views: RefCell<Views>,
     pub berth: RefCell<Berth>,
     pub budget: RefCell<Budget>,
     shares: RefCell<HashMap<String, Share>>,
     asker: RefCell<Asker>,
     verdicts: RefCell<HashMap<u32, oneshot::Sender<Verdict>>>,
-    /// The fleet's clock is the own steady one and this.
-    ahead: Cell<f64>,
-    posts: RefCell<Vec<Post>>,
-    vector: RefCell<Vector>,
-    pub keepers: RefCell<Vec<Keeper>>,
-    pilots: Cell<u32>,
     pub leaving: Cell<bool>,
     /// Does the holder of the counts answer? Where it doesn't, nobody waits for it.
     counted: Cell<bool>,
@@ -60,24 +49,18 @@
     pub fn new(settings: Settings, clock: Clock, kept: Rc<Kept<CallerSide>>) -> Rc<Deck> {
         let bounds = settings.bounds;
         let cold = ColdRule { overrun: bounds.cold_overrun, slack: bounds.cold_slack };
+        let me = mooring::node_of(settings.ip);
         let (zone, region, zones) = (settings.zone.clone(), settings.region.clone(), settings.zones.clone());
-        let berth = Berth::new(zone, region, zones, cold, mooring::chance());
+        let berth = Berth::new(me, zone, region, zones, cold, mooring::chance());
         Rc::new(Deck {
             clock,
             kept,
-            chart: RefCell::default(),
-            text: RefCell::default(),
-            vouched: Cell::new(f64::NEG_INFINITY),
+            views: RefCell::new(Views::new(bounds.revoke - REVOKE_MARGIN)),
             berth: RefCell::new(berth),
             budget: RefCell::default(),
             shares: RefCell::default(),
             asker: RefCell::new(Asker::new(clock.now(), mooring::chance())),
             verdicts: RefCell::default(),
-            ahead: Cell::new(0.0),
-            posts: RefCell::default(),
-            vector: RefCell::default(),
-            keepers: RefCell::default(),
-            pilots: Cell::new(0),
             leaving: Cell::new(false),
             counted: Cell::new(false),
             has_counted: Cell::new(false),
@@ -90,22 +73,20 @@
     }
 
     pub fn chart(&self) -> Option<Rc<Chart>> {
-        self.chart.borrow().clone()
+        self.views.borrow().chart()
     }
 
     pub fn fleet_clock(&self) -> f64 {
-        self.clock.now() + self.ahead.get()
+        self.views.borrow().clock(self.clock.now())
     }
 
     pub fn heard_clock(&self, clock: f64) {
-        if clock.is_finite() {
-            self.ahead.set(self.ahead.get().max(clock - self.clock.now()));
-        }
+        self.views.borrow_mut().heard_clock(self.clock.now(), clock);
     }
 
     /// May keys be served by the configuration that is held? Asked again before each hand-off.
     pub fn vouched(&self) -> bool {
-        self.clock.now() < self.vouched.get()
+        self.views.borrow().vouched(self.clock.now())
     }
 
     /// Can clients be sent here? A gateway that has only started has no share yet, and waits for the counter; one that has
@@ -114,7 +95,7 @@
         let counts = self.has_counted.get() || self.clock.now() > self.settings.bounds.quota_window;
         counts
             && !self.leaving.get()
-            && self.chart.borrow().is_some()
+            && self.chart().is_some()
             && self.vouched()
             && self.berth.borrow().count().1 > 0
     }
@@ -134,132 +115,59 @@
         }
     }
 
-    pub fn posts(&self) -> Vec<Post> {
-        self.posts.borrow().clone()
-    }
-
     /// Who holds the counts, and in which term.
     pub fn counter(&self) -> Option<(Node, u64)> {
-        let posts = self.posts.borrow();
-        posts.iter().find(|post| post.duty == Duty::Tally).map(|post| (post.holder, post.term))
+        self.views.borrow().counter()
     }
 
-    /// Data gateways that may be at work.
+    /// Data gateways that may be at work; 0 is not known yet.
     pub fn pilots(&self) -> u32 {
-        self.pilots.get()
+        self.views.borrow().pilots().len() as u32
     }
 
-    pub fn vector(&self) -> Vector {
-        self.vector.borrow().clone()
-    }
-
-    /// A control gateway's sign of life; `asked` is when the hail was sent that it answers. True where it holds something
-    /// that is lacking here.
-    pub fn beat(&self, beat: &Beat, asked: Option<f64>) -> bool {
-        self.heard_clock(beat.clock);
-        let mut turned = false;
-        for post in &beat.posts {
-            let mut posts = self.posts.borrow_mut();
-            match posts.iter_mut().find(|known| known.duty == post.duty) {
-                Some(known) if known.term >= post.term => {}
-                Some(known) => (*known, turned) = (*post, true),
-                None => {
-                    posts.push(*post);
-                    turned = true;
-                }
-            }
-        }
-        if beat.pilots > 0 && beat.pilots != self.pilots.replace(beat.pilots) {
-            self.split_quotas();
-            self.berth.borrow_mut().set_gateways(beat.pilots);
-        }
-        let mine = self.vector.borrow();
-        let theirs = &beat.vector;
-        // It vouches only for what is held here: a newer one has to be pulled first.
-        if let (Some(asked), Some(age)) = (asked, beat.confirmed.filter(|_| theirs.chart == mine.chart)) {
-            let lease = self.settings.bounds.revoke - REVOKE_MARGIN;
-            let ready = self.vouched();
-            self.vouched.set(self.vouched.get().max(asked - age.max(0.0) + lease));
-            turned |= ready != self.vouched();
-        }
-        if turned {
-            self.turned.notify_waiters();
+    /// Hands on what changed in the views to those that go by it.
+    pub fn turn(&self, turns: Vec<Turn>) {
+        if turns.is_empty() {
+            return;
         }
-        theirs.chart > mine.chart
-            || theirs.evacuations > mine.evacuations
-            || theirs.hosts > mine.hosts
-            || theirs.keepers != mine.keepers
-    }
-
-    pub fn take(&self, pieces: Vec<Piece>) {
         let now = self.clock.now();
-        for piece in pieces {
-            match piece {
-                Piece::Chart { stamp, base, packed } if stamp > self.vector.borrow().chart => {
-                    self.unpack_chart(stamp, base, &packed);
-                }
-                Piece::Chosen(Register::Evacuations, held)
-                    if held.stamp > self.vector.borrow().evacuations =>
-                {
-                    let zones = evacuated(&held.value);
+        for turn in turns {
+            match turn {
+                Turn::Chart(chart) => self.take_chart(&chart),
+                Turn::Evacuated(zones) => {
                     log::info!("evacuated zones: {zones:?}");
                     self.berth.borrow_mut().set_evacuated(now, zones);
-                    self.vector.borrow_mut().evacuations = held.stamp;
                 }
-                Piece::Hosts(hosts) if (hosts.term, hosts.version) > self.vector.borrow().hosts => {
+                Turn::Hosts(hosts) => {
                     let left = self.berth.borrow_mut().list(now, &hosts.lines);
                     left.into_iter().for_each(|key| self.kept.forget(key));
-                    self.vector.borrow_mut().hosts = (hosts.term, hosts.version);
                 }
-                Piece::Keepers(keepers) => {
-                    let stamp = keepers_stamp(keepers.iter().map(|k| k.node));
-                    self.vector.borrow_mut().keepers = stamp;
-                    *self.keepers.borrow_mut() = keepers;
+                Turn::Pilots => {
+                    self.split_quotas();
+                    self.berth.borrow_mut().set_gateways(self.views.borrow().pilots());
                 }
-                _ => {}
+                Turn::Unusable(why) => log::error!("{why}"),
+                Turn::Keepers | Turn::Posts | Turn::Vouched => {}
             }
         }
         self.turned.notify_waiters();
     }
 
-    fn unpack_chart(&self, stamp: u64, base: u64, packed: &[u8]) {
-        let mut held = self.text.borrow_mut();
-        if base != 0 && base != self.vector.borrow().chart {
-            // Made for what was held when it was asked for: the next beat has it asked for again.
-            return;
-        }
-        let text = pack::unpack(packed, if base == 0 { b"" } else { &held });
-        let text = match text {
-            Ok(text) => text,
-            Err(e) => return log::error!("a configuration can't be unpacked: {e}"),
-        };
-        match Chart::read(&text) {
-            Ok(chart) => {
-                *held = text;
-                drop(held);
-                self.take_chart(stamp, chart);
-            }
-            Err(e) => log::error!("a configuration that was chosen can't be read: {e}"),
-        }
-    }
-
-    fn take_chart(&self, stamp: u64, chart: Chart) {
+    fn take_chart(&self, chart: &Chart) {
         log::info!("configuration {:08x} is in force", chart.version);
         let services = chart.services.values().map(|service| {
             let terms = ServiceTerms { cold_rate: service.cold_rate, cold_period: service.cold_period };
             (service.name.clone(), terms)
         });
         self.berth.borrow_mut().set_services(services.collect());
-        *self.chart.borrow_mut() = Some(Rc::new(chart));
-        self.vector.borrow_mut().chart = stamp;
         self.split_quotas();
     }
 
     /// The counter's part of each quota, which hangs on how many share the rest.
     fn split_quotas(&self) {
-        let (Some(chart), bound) = (self.chart(), self.bound()) else { return };
+        let (Some(chart), bound, pilots) = (self.chart(), self.bound(), self.pilots()) else { return };
         let quota = |t: &Tenant| {
-            let counted = bound.counted(t.rate, t.burst, self.pilots.get());
+            let counted = bound.counted(t.rate, t.burst, pilots);
             Quota { tenant: t.name.clone(), rate: t.rate, burst: t.burst, counted }
         };
         let quotas: Vec<Quota> = chart.tenants.iter().map(quota).collect();
@@ -308,14 +216,11 @@
     }
 
     fn share(&self, tenant: &Tenant) -> bool {
-        let bounds = &self.settings.bounds;
-        let bound =
-            Bound { window: bounds.quota_window, overrun: bounds.quota_overrun, slack: bounds.quota_slack };
-        let now = self.clock.now();
+        let (bound, now) = (self.bound(), self.clock.now());
         let mut shares = self.shares.borrow_mut();
         // The steady clock counts from this process's start.
         let share = shares.entry(tenant.name.clone()).or_insert_with(|| Share::new(0.0));
-        share.take(now, &bound, tenant.rate, tenant.burst, self.pilots.get())
+        share.take(now, &bound, tenant.rate, tenant.burst, self.pilots())
     }
 
     /// Hands out what the asker has to say after each call on it.
@@ -366,7 +271,7 @@
         loop {
             let at = self.asker.borrow().wake_at().unwrap_or(f64::INFINITY);
             self.woken_at.set(at);
-            let until = self.clock.instant(at - self.ahead.get());
+            let until = self.clock.instant(at - self.views.borrow().ahead());
             tokio::select! {
                 _ = tokio::time::sleep_until(until) => {
                     self.asker.borrow_mut().woken(self.fleet_clock());
--- a/pilot/src/session.rs
+++ b/pilot/src/session.rs
@@ -1,135 +1,86 @@
-//! The session with a control gateway, and the connection to the one that holds the counts. Owns which control gateway is
-//! called next, and when one is left for another. Must never take an answer for a question that it does not belong to.
+//! The sockets of a data gateway's session with a control gateway, and of its connection to the one that holds the counts.
+//! Owns them; when to call, hail, pull and leave is `bridge::session`'s to say. Must never take an answer for a question
+//! that it does not belong to.
 
 use crate::deck::Deck;
-use futures_util::StreamExt;
-use mooring::split;
-use signal::{Node, Word};
-use std::collections::HashMap;
+use bridge::session::{Act, Place, Session};
+use futures_util::{Stream, StreamExt};
+use mooring::{Out, split};
+use signal::Word;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
-const HAIL_EVERY: Duration = Duration::from_millis(400);
-/// Three hails without an answer: the control gateway is left.
-const SILENT: f64 = 1.3;
-/// A control gateway that no majority has answered for so long is cut off itself: another may not be.
-const STALE: f64 = 2.0;
-/// What was asked for and has not come is asked for again after this.
-const PULL_AGAIN: f64 = 1.0;
-/// A control gateway that failed is called after all others for so long.
-const SHUN: f64 = 5.0;
-/// How long a session in another zone stands before a nearer control gateway is tried again.
-const NEARER: f64 = 10.0;
+/// Between two calls of a holder of the counts that isn't reached.
 const AGAIN: Duration = Duration::from_millis(100);
 const MOST_WORDS: usize = 256;
 
-/// Control gateways, those to call first at the front.
-fn order(deck: &Deck, failed: &HashMap<Node, f64>) -> Vec<(Node, u8)> {
-    let now = deck.clock.now();
-    let keepers = deck.keepers.borrow();
-    let mut all: Vec<(Node, u8)> = keepers
-        .iter()
-        .map(|k| {
-            (
-                k.node,
-                if k.zone == deck.settings.zone { 0 } else { 1 + u8::from(k.region != deck.settings.region) },
-            )
-        })
-        .collect();
-    for seed in &deck.settings.seeds {
-        let node = mooring::node_of(*seed.ip());
-        if !all.iter().any(|(known, _)| *known == node) {
-            all.push((node, 3));
-        }
-    }
-    let me = mooring::node_of(deck.settings.ip);
-    let shunned = |node: &Node| failed.get(node).is_some_and(|at| now < *at + SHUN);
-    // Among equals each data gateway has an order of its own, so that they don't all call the same one.
-    all.sort_by_key(|(node, far)| (shunned(node), *far, (node ^ me).wrapping_mul(0x9e37_79b9)));
-    all
-}
+type Words = Pin<Box<dyn Stream<Item = io::Result<Word>>>>;
 
+/// Keeps a session for as long as this process lives.
 pub async fn keep(deck: Rc<Deck>) {
-    let mut failed: HashMap<Node, f64> = HashMap::new();
+    let node_of = |seed: &std::net::SocketAddrV4| mooring::node_of(*seed.ip());
+    let mut session = Session::new(Place {
+        node: mooring::node_of(deck.settings.ip),
+        zone: deck.settings.zone.clone(),
+        region: deck.settings.region.clone(),
+        seeds: deck.settings.seeds.iter().map(node_of).collect(),
+    });
+    let mut line: Option<(Out, Words)> = None;
     loop {
-        let Some(&(node, far)) = order(&deck, &failed).first() else {
-            sleep(AGAIN).await;
-            continue;
+        let acts = session.tick(deck.clock.now(), &deck.views.borrow(), || deck.pilot());
+        perform(&deck, &mut session, &mut line, acts).await;
+        let until = deck.clock.instant(session.wake_at().min(1e6));
+        let word = async {
+            match &mut line {
+                Some((_, words)) => words.next().await,
+                None => std::future::pending().await,
+            }
         };
-        if let Some(why) = stand(&deck, node, far, &failed).await {
-            log::warn!("session with {} ended: {why}", std::net::Ipv4Addr::from(node));
-            failed.insert(node, deck.clock.now());
-            sleep(AGAIN).await;
-        }
+        let acts = tokio::select! {
+            word = word => {
+                let now = deck.clock.now();
+                match word {
+                    Some(Ok(word)) => {
+                        let (acts, turns) = session.hear(now, word, &mut deck.views.borrow_mut());
+                        deck.turn(turns);
+                        acts
+                    }
+                    Some(Err(e)) => session.lost(now, &e.to_string()),
+                    None => session.lost(now, "it closed the connection"),
+                }
+            }
+            _ = sleep_until(until) => continue,
+            _ = deck.turned.notified() => {
+                session.hurry(deck.clock.now());
+                continue;
+            }
+        };
+        perform(&deck, &mut session, &mut line, acts).await;
     }
 }
 
-/// One session, until it ends; none where it is given up for a nearer one.
-async fn stand(deck: &Deck, node: Node, far: u8, failed: &HashMap<Node, f64>) -> Option<String> {
-    let framed = match mooring::call(mooring::address_of(node, deck.settings.port)).await {
-        Ok(framed) => framed,
-        Err(e) => return Some(e.to_string()),
-    };
-    let (out, mut words) = split(framed, MOST_WORDS);
-    let began = deck.clock.now();
-    let (mut serial, mut heard, mut fresh) = (0_u64, began, began);
-    let mut pulled = f64::NEG_INFINITY;
-    let mut sent: HashMap<u64, f64> = HashMap::new();
-    let mut next = Instant::now();
-    loop {
-        tokio::select! {
-            word = words.next() => match word {
-                Some(Ok(Word::Beat(beat))) => {
-                    let now = deck.clock.now();
-                    let asked = sent.remove(&beat.serial);
-                    if asked.is_some() {
-                        heard = now;
-                        sent.retain(|number, _| *number > beat.serial);
-                    }
-                    if beat.confirmed.is_some_and(|age| age < STALE) {
-                        fresh = now;
-                    }
-                    let lacks = deck.beat(&beat, asked);
-                    // What is on its way is not asked for twice: a narrow link would carry it twice.
-                    if lacks && now > pulled + PULL_AGAIN {
-                        pulled = now;
-                        if out.try_send(Word::Pull(deck.vector())).is_err() {
-                            return Some("it does not read".into());
-                        }
-                    }
-                }
-                Some(Ok(Word::News(pieces))) => {
-                    pulled = f64::NEG_INFINITY;
-                    deck.take(pieces);
-                    // What it vouched for may be held only now.
-                    next = Instant::now();
-                }
-                Some(Ok(_)) => {}
-                Some(Err(e)) => return Some(e.to_string()),
-                None => return Some("it closed the connection".into()),
-            },
-            _ = sleep_until(next) => {
-                let now = deck.clock.now();
-                if now > heard + SILENT {
-                    return Some("it is silent".into());
-                }
-                if now > fresh + STALE {
-                    return Some("no majority answers it".into());
-                }
-                let nearer = order(deck, failed).first().is_some_and(|(_, first)| *first < far);
-                if nearer && (now > began + NEARER || far == 3) {
-                    return None;
-                }
-                serial += 1;
-                sent.insert(serial, now);
-                let hail = Word::Hail { serial, pilot: deck.pilot(), clock: deck.fleet_clock(), terms: deck.posts() };
-                if out.try_send(hail).is_err() {
-                    return Some("it does not read".into());
+async fn perform(deck: &Deck, session: &mut Session, line: &mut Option<(Out, Words)>, acts: Vec<Act>) {
+    let mut acts = std::collections::VecDeque::from(acts);
+    while let Some(act) = acts.pop_front() {
+        match act {
+            Act::Call(node) => {
+                let called = mooring::call(mooring::address_of(node, deck.settings.port)).await;
+                let called = called.map(|framed| {
+                    let (out, words) = split(framed, MOST_WORDS);
+                    *line = Some((out, Box::pin(words)));
+                });
+                acts.extend(session.called(deck.clock.now(), called.map_err(|e| e.to_string())));
+            }
+            Act::HangUp => *line = None,
+            Act::Send(word) => {
+                if line.as_ref().is_some_and(|(out, _)| out.try_send(word).is_err()) {
+                    acts.extend(session.lost(deck.clock.now(), "it does not read"));
                 }
-                next = Instant::now() + HAIL_EVERY;
-            },
-            _ = deck.turned.notified() => next = next.min(Instant::now() + Duration::from_millis(20)),
+            }
+            Act::Warn(text) => log::warn!("{text}"),
         }
     }
 }
@@ -170,7 +121,7 @@
 async fn talk(
     deck: &Deck,
     framed: tokio_util::codec::Framed<tokio::net::TcpStream, signal::Wire>,
-    holder: (Node, u64),
+    holder: (signal::Node, u64),
 ) {
     /// Without any totals for so long while some are due, the connection is given up.
     const SILENT: Duration = Duration::from_millis(400);
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -81,8 +81,8 @@
     pub control: SocketAddrV4,
 }
 
-/// Tells one set of control gateways from another; the nodes in their order.
-pub fn keepers_stamp(nodes: impl ExactSizeIterator<Item = Node>) -> u64 {
+/// Tells one set of gateways from another; the nodes in their order.
+pub fn nodes_stamp(nodes: impl ExactSizeIterator<Item = Node>) -> u64 {
     let count = nodes.len() as u64;
     nodes.fold(count, |sum, node| sum.wrapping_mul(0x0100_0000_01b3).wrapping_add(u64::from(node)))
 }
@@ -133,6 +133,8 @@
     pub evacuations: u64,
     pub hosts: (u64, u64),
     pub keepers: u64,
+    /// Of the data gateways that there may be, lately lost ones among them; 0 is not known yet.
+    pub pilots: u64,
     pub sessions: Vec<(Node, u64, u64)>,
 }
 
@@ -148,6 +150,8 @@
     },
     Hosts(Hosts),
     Keepers(Vec<Keeper>),
+    /// Data gateways that there may be, lately lost ones among them, in the order of their numbers.
+    Pilots(Vec<Node>),
     Sessions(Sessions),
 }
 
@@ -170,8 +174,6 @@
     pub confirmed: Option<f64>,
     pub vector: Vector,
     pub posts: Vec<Post>,
-    /// Data gateways that there may be, lately lost ones among them; 0 is not known yet.
-    pub pilots: u32,
     /// Who votes; empty is not known yet.
     pub voters: Vec<Node>,
 }
