A counter that is back is asked at once; shares by lot; bids in turn; a door by the hosts' load

Change: the driver tells the module when its probe found the counter counting; what does not divide evenly is given by a lot (signal::Lot) that all know; voters bid in turn once a grant is over; a host not heard of lately is taken for a usual one of its region (berth::pool), and the part of requests let in follows the load that answers tell, by rank. Cold hosts get their rate from some gateways each.

--- a/berth/src/choice.rs
+++ b/berth/src/choice.rs
@@ -3,18 +3,17 @@
 //! the region and the region before the rest by what the way costs. Must never choose a host that leaves, whose zone is
 //! evacuated or that lies outside a request's homes, nor give a cold one more than this gateway's part.
 
-use signal::{HostLine, Node};
+use crate::pool::Pool;
+use signal::{HostLine, Lot, Node};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 
-/// Expected until a service's hosts have answered.
-const FIRST_WORK: f64 = 0.06;
 /// How far one answer moves what is known of a host's work and of the others' requests there: a few tens of answers show
 /// a host's speed beside work that varies by itself, a few show who else is there.
 const WORK_STEP: f64 = 0.06;
 const OTHERS_STEP: f64 = 0.5;
-/// What others have out is believed for about this long without news.
-const OTHERS_LAST: f64 = 3.0;
+/// What others have out at a host is believed for about this long without news of it; then it is taken for a usual one.
+const OTHERS_LAST: f64 = 1.0;
 /// Ways in parts of the goal time: bytes between zones are dear, and between regions far dearer.
 const TO_ZONE: f64 = 0.04;
 const TO_REGION: f64 = 0.3;
@@ -33,9 +32,6 @@
 /// Requests this gateway keeps out at a host, beyond its slots: more only wait there, and elsewhere they need not.
 const MOST_HOSTS: usize = 8192;
 
-/// Data gateways, until it is known how many: more than there may be, so that no part is too large.
-const UNKNOWN: u32 = 1000;
-
 /// The rule for hosts that are cold: requests in any one second, over all gateways.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdRule {
@@ -63,6 +59,29 @@
     pub left: f64,
     /// Hosts that it was sent to before.
     pub tried: &'a [u64],
+    /// Not let in yet; `None` where it is.
+    pub door: Option<Door>,
+}
+
+/// How a request stands at the door where there are more than the hosts can answer in time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Door {
+    /// 0 goes first.
+    pub rank: u8,
+    /// Was turned away before: a second time costs more than the first.
+    pub again: bool,
+    /// Its chance, from 0 to 1, drawn once.
+    pub draw: f64,
+}
+
+impl Door {
+    /// Is it let in where a part `open` of all is?
+    fn lets_in(&self, open: f64) -> bool {
+        const BY_RANK: [f64; 3] = [0.5, 1.0, 1.5];
+        const AGAIN: f64 = 0.5;
+        let rank = BY_RANK[usize::from(self.rank).min(BY_RANK.len() - 1)];
+        self.draw <= open.powf(rank * if self.again { AGAIN } else { 1.0 })
+    }
 }
 
 /// A host chosen: `key` names this life of it here.
@@ -112,6 +131,13 @@
     moved: bool,
 }
 
+/// A service's hosts, and what is known of them as a whole in each region.
+#[derive(Default)]
+struct Fleet {
+    keys: Vec<u64>,
+    pools: HashMap<String, Pool>,
+}
+
 pub struct Berth {
     zone: String,
     region: String,
@@ -119,12 +145,12 @@
     cold: ColdRule,
     hosts: BTreeMap<u64, Host>,
     by_id: HashMap<String, u64>,
-    by_service: HashMap<String, Vec<u64>>,
+    by_service: HashMap<String, Fleet>,
     services: HashMap<String, ServiceTerms>,
     evacuated: BTreeSet<String>,
     /// This gateway and all that may be at work.
     me: Node,
-    gateways: u32,
+    gateways: Vec<Node>,
     chance: oorandom::Rand64,
     next: u64,
 }
@@ -149,7 +175,7 @@
             by_service: HashMap::new(),
             services: HashMap::new(),
             evacuated: BTreeSet::new(),
-            gateways: UNKNOWN,
+            gateways: Vec::new(),
             chance: oorandom::Rand64::new(u128::from(seed)),
             next: 1,
         }
@@ -157,7 +183,7 @@
 
     /// Data gateways that may be at work.
     pub fn set_gateways(&mut self, gateways: &[Node]) {
-        self.gateways = gateways.len() as u32;
+        self.gateways = gateways.to_vec();
     }
 
     pub fn set_services(&mut self, services: HashMap<String, ServiceTerms>) {
@@ -220,10 +246,15 @@
             self.hosts.iter().filter(|(_, h)| h.gone || h.line.draining).map(|(k, _)| *k).collect();
         self.hosts.retain(|_, host| !host.gone || host.out > 0.0);
         self.by_id.retain(|_, key| self.hosts.contains_key(key));
-        self.by_service.clear();
+        self.by_service.values_mut().for_each(|fleet| fleet.keys.clear());
         for (key, host) in &self.hosts {
-            self.by_service.entry(host.line.service.clone()).or_default().push(*key);
+            let fleet = self.by_service.entry(host.line.service.clone()).or_default();
+            fleet.keys.push(*key);
+            if !fleet.pools.contains_key(&host.region) {
+                fleet.pools.insert(host.region.clone(), Pool::default());
+            }
         }
+        self.by_service.retain(|_, fleet| !fleet.keys.is_empty());
         left
     }
 
@@ -232,36 +263,35 @@
         (self.hosts.len(), self.hosts.values().filter(|h| !h.gone && !h.line.draining).count())
     }
 
-    /// What a host's work usually takes: its own figure, or that of its service.
-    fn usual(&self, service: &str) -> f64 {
-        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let known = keys.iter().filter_map(|k| self.hosts.get(k)).map(|h| h.work).filter(|w| *w > 0.0);
-        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), work| (sum + work, count + 1.0));
-        if count > 0.0 { sum / count } else { FIRST_WORK }
-    }
-
-    /// Requests that a cold host may get from this gateway in any one second.
-    fn cold_part(&self, service: &str) -> Option<usize> {
-        let terms = self.services.get(service).copied().unwrap_or_default();
-        let all = terms.cold_rate * self.cold.overrun + self.cold.slack - 1.0;
-        (terms.cold_rate > 0.0).then(|| (all / f64::from(self.gateways.max(1))).floor().max(0.0) as usize)
+    /// May a host that is cold get one more from this gateway now? Each has a part of the rule for any one second; where
+    /// there are more gateways than requests, some have one each, others for another host.
+    fn cold_room(&self, host: &Host, now: f64) -> bool {
+        // Others may know of one gateway more or less.
+        const UNSURE: f64 = 2.0;
+        const SECOND: f64 = 1.05;
+        let terms = self.services.get(&host.line.service).copied().unwrap_or_default();
+        if terms.cold_rate <= 0.0 {
+            return true;
+        }
+        let all = (terms.cold_rate * self.cold.overrun + self.cold.slack - UNSURE).max(0.0) as usize;
+        let part = Lot::of(self.me, &host.line.id, &self.gateways).part(all);
+        host.cold_sent.iter().filter(|at| **at + SECOND > now).count() < part
     }
 
-    fn fits(&self, host: &Host, need: &Need, now: f64, cold_part: Option<usize>) -> bool {
+    fn fits(&self, host: &Host, need: &Need, now: f64) -> bool {
         let homes = need.homes.is_empty() || need.homes.contains(&host.region);
         let stays =
             !host.gone && !host.moved && !host.line.draining && !self.evacuated.contains(&host.line.zone);
         let rests = now < host.rest_until || (host.rests > 0 && host.out > 0.0);
-        let cold = now < host.cold_until
-            && cold_part
-                .is_some_and(|part| host.cold_sent.iter().filter(|at| **at + 1.05 > now).count() >= part);
-        homes && stays && !rests && !cold
+        homes && stays && !rests && (now >= host.cold_until || self.cold_room(host, now))
     }
 
     /// Seconds until an answer is expected, and that with what the way costs.
-    fn weigh(&self, host: &Host, need: &Need, usual: f64, now: f64) -> (f64, f64) {
-        let work = if host.work > 0.0 { host.work } else { usual };
-        let others = host.others * (-(now - host.others_at) / OTHERS_LAST).exp();
+    fn weigh(&self, host: &Host, need: &Need, pool: &Pool, now: f64) -> (f64, f64) {
+        let work = if host.work > 0.0 { host.work } else { pool.work() };
+        let fresh = (-(now - host.others_at) / OTHERS_LAST).exp();
+        let usual = (pool.load(now) * host.slots - host.out).max(0.0);
+        let others = fresh * host.others + (1.0 - fresh) * usual;
         let ahead = (host.out + others + 1.0 - host.slots).max(0.0);
         let cold = if now < host.cold_until { 2.0 } else { 1.0 };
         let expected = work * cold * (1.0 + ahead / host.slots);
@@ -278,31 +308,39 @@
 
     /// The host where a request is expected to be done first; none where none is expected to do it in time.
     pub fn choose(&mut self, now: f64, need: &Need) -> Option<Chosen> {
-        let keys = self.by_service.get(need.service)?.clone();
-        let (usual, cold_part) = (self.usual(need.service), self.cold_part(need.service));
+        let fleet = self.by_service.get(need.service)?;
         let mut best: Option<(f64, u64, f64)> = None;
-        for key in keys {
-            let Some(host) = self.hosts.get(&key) else { continue };
-            if need.tried.contains(&key) || !self.fits(host, need, now, cold_part) {
+        // A copy, as the rest is borrowed meanwhile.
+        let mut chance = self.chance;
+        for &key in &fleet.keys {
+            let (Some(host), false) = (self.hosts.get(&key), need.tried.contains(&key)) else { continue };
+            let Some(pool) = fleet.pools.get(&host.region) else { continue };
+            let let_in = need.door.is_none_or(|door| door.lets_in(pool.open()));
+            if !let_in || !self.fits(host, need, now) {
                 continue;
             }
-            let (expected, weight) = self.weigh(host, need, usual, now);
+            let (expected, weight) = self.weigh(host, need, pool, now);
             if expected > need.left * IN_TIME {
                 continue;
             }
-            let drawn = weight * (1.0 + SPREAD * self.chance.rand_float());
+            let drawn = weight * (1.0 + SPREAD * chance.rand_float());
             if best.is_none_or(|(least, _, _)| drawn < least) {
                 best = Some((drawn, key, expected));
             }
         }
+        self.chance = chance;
         let (_, key, expected) = best?;
         let host = self.hosts.get(&key)?;
         Some(Chosen { key, id: host.line.id.clone(), address: host.line.address, expected })
     }
 
-    /// A request goes to a host now.
-    pub fn sent(&mut self, now: f64, key: u64) {
+    /// A request with that goal time goes to a host now.
+    pub fn sent(&mut self, now: f64, key: u64, goal: f64) {
         let Some(host) = self.hosts.get_mut(&key) else { return };
+        let fleet = self.by_service.get_mut(&host.line.service);
+        if let Some(pool) = fleet.and_then(|fleet| fleet.pools.get_mut(&host.region)) {
+            pool.sent(if goal.is_finite() { goal } else { GOAL });
+        }
         host.out += 1.0;
         host.asked.get_or_insert(now);
         if now < host.cold_until {
@@ -321,6 +359,8 @@
     /// A request to a host ended, `took` seconds after it was sent.
     pub fn ended(&mut self, now: f64, key: u64, took: f64, end: End) {
         let Some(host) = self.hosts.get_mut(&key) else { return };
+        let fleet = self.by_service.get_mut(&host.line.service);
+        let mut pool = fleet.and_then(|fleet| fleet.pools.get_mut(&host.region));
         let before = host.out;
         host.out = (host.out - 1.0).max(0.0);
         if let End::Answered(_) | End::Full(_) = end {
@@ -335,11 +375,17 @@
             let others = (running + waiting - before).max(0.0);
             host.others += OTHERS_STEP * (others - host.others);
             host.others_at = now;
+            if let Some(pool) = &mut pool {
+                pool.told(now, (running + waiting) / host.slots);
+            }
         }
         match end {
             End::Answered(_) => {
                 let alone = took / ((before + host.others) / host.slots).max(1.0);
                 host.work = if host.work > 0.0 { host.work + WORK_STEP * (alone - host.work) } else { alone };
+                if let Some(pool) = pool {
+                    pool.worked(alone);
+                }
             }
             End::Full(_) => host.others = host.others.max(host.slots * 2.0),
             End::Elsewhere => host.moved = true,
--- a/berth/src/lib.rs
+++ b/berth/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod budget;
 pub mod choice;
+pub mod pool;
--- a/berth/tests/choice.rs
+++ b/berth/tests/choice.rs
@@ -21,7 +21,7 @@
 }
 
 fn need() -> Need<'static> {
-    Need { service: "s", homes: &[], goal: 0.3, left: 2.0, tried: &[] }
+    Need { service: "s", homes: &[], goal: 0.3, left: 2.0, tried: &[], door: None }
 }
 
 fn chosen(berth: &mut Berth, now: f64, need: &Need) -> Option<String> {
@@ -42,12 +42,12 @@
     berth.set_evacuated(0.3, BTreeSet::new());
     for _ in 0..2 {
         let to = berth.choose(0.3, &need()).unwrap();
-        berth.sent(0.3, to.key);
+        berth.sent(0.3, to.key, 0.3);
         berth.ended(0.3, to.key, 0.01, End::Answered(None));
     }
     assert_eq!(chosen(&mut berth, 1.2, &need()), None);
     let to = berth.choose(1.4, &need()).unwrap();
-    berth.sent(1.4, to.key);
+    berth.sent(1.4, to.key, 0.3);
     berth.ended(1.4, to.key, 0.01, End::Elsewhere);
     assert!(!berth.still(to.key) && chosen(&mut berth, 9.0, &need()).is_none());
 }
@@ -61,7 +61,7 @@
     let mut order = Vec::new();
     for _ in 0..40 {
         let to = berth.choose(0.0, &need()).unwrap();
-        berth.sent(0.0, to.key);
+        berth.sent(0.0, to.key, 0.3);
         order.push(to.id);
     }
     assert!(order[..2].iter().all(|id| id == "near"), "{order:?}");
@@ -73,11 +73,11 @@
     let mut berth = berth();
     berth.list(0.0, &[line("one", "a", 0.0)]);
     let to = berth.choose(0.0, &need()).unwrap();
-    berth.sent(0.0, to.key);
+    berth.sent(0.0, to.key, 0.3);
     berth.ended(0.0, to.key, 0.0, End::Unreached);
     assert_eq!(chosen(&mut berth, 0.1, &need()), None);
     let again = berth.choose(0.5, &need()).unwrap();
-    berth.sent(0.5, again.key);
+    berth.sent(0.5, again.key, 0.3);
     assert_eq!(chosen(&mut berth, 0.5, &need()), None);
     berth.ended(0.6, again.key, 0.1, End::Answered(None));
     assert!(chosen(&mut berth, 0.6, &need()).is_some());
--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -18,6 +18,9 @@
 const BID_LASTS: f64 = 0.12;
 /// The wait before the next bid of one gateway for a duty that nobody holds; chance spreads them so that one wins.
 const BID_SPREAD: f64 = 0.25;
+/// Voters bid for a duty that has just become free in turn, this far apart, another one first in each term: two at once split
+/// the grants and both lose, which costs more than waiting for one that is gone as well.
+const BID_STEP: f64 = 0.07;
 
 /// No node has this number; a grant given back names no successor.
 const NOBODY: Node = 0;
@@ -122,6 +125,15 @@
         }
     }
 
+    /// This gateway's turn to bid after a holder that is gone; a fraction of a turn lets all grants of its end first.
+    fn turn(&self, gone: &Post) -> f64 {
+        const ENDS: f64 = 0.4;
+        let rest: Vec<Node> = self.voters.iter().copied().filter(|&node| node != gone.holder).collect();
+        let first = gone.term as usize % rest.len().max(1);
+        let place = rest.iter().position(|&node| node == self.me);
+        ENDS + place.map_or(rest.len(), |place| (place + rest.len() - first) % rest.len()) as f64
+    }
+
     fn next_term(&self, duty: Duty) -> u64 {
         let given = self.given.get(&duty).map_or(0, |g| g.term);
         given
@@ -161,10 +173,13 @@
                 acts.extend(self.give_back(duty));
                 self.try_at.insert(duty, now + BID_SPREAD * self.chance.rand_float());
             }
-            // A holder that was heard of lately is left alone.
-            let alive = |(k, at): &(Post, f64)| k.holder != self.me && now < at + SPAN;
+            // A holder that was heard of lately is left alone; after that the voters bid in turn.
+            let granted = self.given.get(&duty).map_or(f64::NEG_INFINITY, |g| g.until - SPAN);
+            let alive = self.known.get(&duty).is_some_and(|(k, at)| {
+                k.holder != self.me && now < at.max(granted) + SPAN + BID_STEP * self.turn(k)
+            });
             let try_at = *self.try_at.entry(duty).or_insert(now + BID_SPREAD * self.chance.rand_float());
-            if self.known.get(&duty).is_some_and(alive) || now < try_at || self.bidding.contains_key(&duty) {
+            if alive || now < try_at || self.bidding.contains_key(&duty) {
                 continue;
             }
             let term = self.next_term(duty);
--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -9,7 +9,7 @@
 use fairway::kept::Kept;
 use fairway::plain::CallerSide;
 use mooring::Clock;
-use signal::{Add, Node, Pilot};
+use signal::{Add, Lot, Node, Pilot};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -220,7 +220,9 @@
         let mut shares = self.shares.borrow_mut();
         // The steady clock counts from this process's start.
         let share = shares.entry(tenant.name.clone()).or_insert_with(|| Share::new(0.0));
-        share.take(now, &bound, tenant.rate, tenant.burst, self.pilots())
+        let views = self.views.borrow();
+        let lot = Lot::of(mooring::node_of(self.settings.ip), &tenant.name, views.pilots());
+        share.take(now, &bound, tenant.rate, tenant.burst, lot)
     }
 
     /// Hands out what the asker has to say after each call on it.
@@ -248,6 +250,9 @@
             self.turned.notify_waiters();
         }
         if self.counted.replace(counted) != counted {
+            if counted {
+                self.asker.borrow_mut().back();
+            }
             log::info!("{}", if counted { "the counter answers" } else { "no counter: shares alone" });
         }
     }
--- a/pilot/src/request.rs
+++ b/pilot/src/request.rs
@@ -5,7 +5,7 @@
 use crate::deck::Deck;
 use crate::hand_off::{Cargo, Outcome, carry, relayed};
 use crate::voyage::{Final, Next, Rules, Voyage};
-use berth::choice::{Chosen, Need};
+use berth::choice::{Chosen, Door, Need};
 use chart::{Chart, Route, Tenant};
 use fairway::plain::{Answer, Field, Request};
 use std::rc::Rc;
@@ -79,20 +79,21 @@
     }
 }
 
-/// How long an answer may be expected to take for a request to be let in at all. Where hosts are full, one that would come
-/// late keeps the next one late as well; turned away at once, its client may come back to a host that has room, in time. One
-/// that has come back is let in more easily: it has lost time already, and a second refusal costs more than the first.
-fn patience(route: &Route, told: f64) -> f64 {
-    const FRESH: f64 = 0.6;
-    const AGAIN: f64 = 0.9;
-    let fresh = told >= route.timeout * 0.97;
-    route.goal * if fresh { FRESH } else { AGAIN }
+/// How long an answer may be expected to take for a request to be let in at all, in parts of its goal time: where every host
+/// is as full as that, its client is better served by being turned away at once.
+const PATIENCE: f64 = 0.9;
+/// A client that has this part of the route's time left has not been turned away before.
+const FRESH: f64 = 0.97;
+
+/// A number from 0 to 1.
+fn draw() -> f64 {
+    (mooring::chance() >> 11) as f64 / (1_u64 << 53) as f64
 }
 
 /// One of a route's services by their weights, first, and the others after it.
 fn services(route: &Route) -> Vec<&str> {
     let sum: f64 = route.shares.iter().map(|share| share.weight).sum();
-    let mut at = (mooring::chance() >> 11) as f64 / (1_u64 << 53) as f64 * sum;
+    let mut at = draw() * sum;
     let mut first = 0;
     for (n, share) in route.shares.iter().enumerate().filter(|_| route.shares.len() > 1) {
         first = n;
@@ -134,9 +135,14 @@
         homes: homes(asked.route, asked.tenant),
         services: services(asked.route),
         goal: asked.route.goal,
-        within: patience(asked.route, told),
+        within: asked.route.goal * PATIENCE,
         until: began + left,
         tried: Vec::new(),
+        door: Some(Door {
+            rank: asked.tenant.and_then(|tenant| tenant.rank).unwrap_or(asked.route.rank),
+            again: told < asked.route.timeout * FRESH,
+            draw: draw(),
+        }),
     };
     let rules =
         Rules { repeatable: asked.route.repeatable, attempts: asked.route.attempts, goal: asked.route.goal };
@@ -149,6 +155,7 @@
     {
         return come_back(429, wait);
     }
+    way.door = None;
     let mut lines = request.passed.clone();
     lines.extend_from_slice(format!("Attempt-Id: {id}\r\n").as_bytes());
     if let Some(tenant) = asked.tenant {
@@ -175,6 +182,7 @@
     within: f64,
     until: f64,
     tried: Vec<u64>,
+    door: Option<Door>,
 }
 
 impl Way<'_> {
@@ -190,6 +198,7 @@
                 goal: self.goal,
                 left: self.within.min(self.until - now),
                 tried: &self.tried,
+                door: self.door,
             };
             berth.choose(now, &need).map(|chosen| (chosen, *service))
         })
@@ -222,7 +231,7 @@
                         doubt = None;
                     }
                     way.tried.push(to.key);
-                    deck.berth.borrow_mut().sent(now, to.key);
+                    deck.berth.borrow_mut().sent(now, to.key, way.goal);
                     spawn_local(carry(deck.clone(), to, cargo.clone(), until, sender.clone()));
                 }
                 None if voyage.waits() => doubt = None,
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -3,8 +3,11 @@
 //! seconds, and the fleet's clock counts from nowhere in particular.
 #![forbid(unsafe_code)]
 
+mod lot;
 pub mod pack;
 
+pub use lot::Lot;
+
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -351,6 +351,11 @@
         self.terms.may_count && (self.ask_share >= 1.0 || self.chance.rand_float() < self.ask_share)
     }
 
+    /// Whoever speaks with the counter has seen that it counts again: every inquiry asks it at once.
+    pub fn counter_is_back(&mut self) {
+        (self.ask_share, self.crowded) = (1.0, false);
+    }
+
     /// Longest wait for an answer: a twentieth of the shortest goal time, no longer than calls live. Where
     /// goals are short, what a call takes on a busy counter: else it is taken for silent.
     pub(crate) fn wait_bound(&self) -> f64 {
--- a/tally/src/asker.rs
+++ b/tally/src/asker.rs
@@ -208,6 +208,11 @@
         }
     }
 
+    /// The counter answers again: nobody has to find that out by a part of the requests.
+    pub fn back(&mut self) {
+        self.module.counter_is_back();
+    }
+
     /// Is there anything to be sent?
     pub fn has_adds(&self) -> bool {
         !self.hands.adds.is_empty()
--- a/tally/src/share.rs
+++ b/tally/src/share.rs
@@ -8,6 +8,7 @@
 //! A gateway that starts anew waits for as long first, as its life before may have let on all of it a moment ago; one that
 //! is cut off or wakes from a freeze has no more than its own.
 
+use signal::Lot;
 use std::collections::VecDeque;
 
 /// Part of a quota that the counter grants. The rest is not lost: tenants that press are let on by the shares as well. Less
@@ -63,16 +64,16 @@
         Share { since, let_on: VecDeque::new() }
     }
 
-    /// Lets one request on, if there is room; `gateways` may be at work, 0 is not known yet.
-    pub fn take(&mut self, now: f64, bound: &Bound, rate: f64, burst: f64, gateways: u32) -> bool {
-        if gateways == 0 || now < self.since + bound.window {
+    /// Lets one request on, if there is room.
+    pub fn take(&mut self, now: f64, bound: &Bound, rate: f64, burst: f64, lot: Lot) -> bool {
+        if lot.gateways == 0 || now < self.since + bound.window {
             return false;
         }
         while self.let_on.front().is_some_and(|at| *at + bound.window <= now) {
             self.let_on.pop_front();
         }
-        let mine = bound.shares(rate, burst, gateways) / f64::from(gateways);
-        let room = self.let_on.len() as f64 + 1.0 <= mine;
+        let all = bound.shares(rate, burst, lot.gateways as u32).max(0.0) as usize;
+        let room = self.let_on.len() < lot.part(all);
         if room {
             self.let_on.push_back(now);
         }
--- a/tally/tests/quota.rs
+++ b/tally/tests/quota.rs
@@ -1,7 +1,7 @@
 //! Several askers on one book, in made-up time: the rule's bound over all of them, with the counter at hand, silent, moved,
 //! and for a gateway that is cut off. Guards against shares granted twice and against refusals inside a quota.
 
-use signal::Add;
+use signal::{Add, Lot};
 use std::collections::VecDeque;
 use tally::asker::{Asker, Quota, Verdict};
 use tally::book::Book;
@@ -68,7 +68,8 @@
                 gateway.asker.woken(now);
             }
             for (_, verdict) in gateway.asker.verdicts() {
-                let mut share = || gateway.share.take(now, &BOUND, quota.rate, quota.burst, gateways as u32);
+                let lot = Lot { place: n, gateways };
+                let mut share = || gateway.share.take(now, &BOUND, quota.rate, quota.burst, lot);
                 if verdict == Verdict::Granted || share() {
                     let_on.push(now - start);
                 }
