Each data gateway turns to a few own hosts first, drawn by host and gateway

Need: nothing may grow with gateways x hosts; among 63 gateways each heard of each host once in seconds. Own hosts cost less by a part of the goal time, strangers stay in use where the own ones are busy; small sites have all hosts as own ones.

--- a/berth/src/choice.rs
+++ b/berth/src/choice.rs
@@ -17,6 +17,13 @@
 /// Ways in parts of the goal time: bytes between zones are dear, and between regions far dearer.
 const TO_ZONE: f64 = 0.04;
 const TO_REGION: f64 = 0.3;
+/// To a host that is none of this gateway's own few: less than a request's wait behind another one, so that room elsewhere
+/// is used as soon as the own ones are busy.
+const TO_STRANGER: f64 = 0.08;
+/// Own hosts of a service in each zone: so many times the even part, and no fewer than these, or their gateways' differences
+/// would not even out.
+const OWN_PARTS: f64 = 2.0;
+const LEAST_OWN: usize = 3;
 /// Where a route has no goal time.
 const GOAL: f64 = 0.5;
 /// Hosts of about the same worth are drawn by chance this far apart, or all gateways would fall on one.
@@ -78,7 +85,7 @@
     /// Is it let in where a part `open` of all is?
     fn lets_in(&self, open: f64) -> bool {
         const BY_RANK: [f64; 3] = [0.5, 1.0, 1.5];
-        const AGAIN: f64 = 0.5;
+        const AGAIN: f64 = 0.4;
         let rank = BY_RANK[usize::from(self.rank).min(BY_RANK.len() - 1)];
         self.draw <= open.powf(rank * if self.again { AGAIN } else { 1.0 })
     }
@@ -125,6 +132,8 @@
     asked: Option<f64>,
     cold_until: f64,
     cold_sent: VecDeque<f64>,
+    /// One of the few that this gateway turns to first.
+    own: bool,
     /// Not in the last list: kept while requests are out.
     gone: bool,
     /// Turned requests away that were meant for it: gone before the list says so.
@@ -184,6 +193,7 @@
     /// Data gateways that may be at work.
     pub fn set_gateways(&mut self, gateways: &[Node]) {
         self.gateways = gateways.to_vec();
+        self.choose_own();
     }
 
     pub fn set_services(&mut self, services: HashMap<String, ServiceTerms>) {
@@ -233,6 +243,7 @@
                 asked: None,
                 cold_until,
                 cold_sent: VecDeque::new(),
+                own: true,
                 gone: false,
                 moved: false,
                 line: line.clone(),
@@ -255,9 +266,29 @@
             }
         }
         self.by_service.retain(|_, fleet| !fleet.keys.is_empty());
+        self.choose_own();
         left
     }
 
+    /// The hosts that this gateway turns to first: among many gateways each hears of a few hosts often in place of all of
+    /// them seldom, and keeps few connections. Drawn by host and gateway, so that a host that comes or goes changes little.
+    fn choose_own(&mut self) {
+        let mut by_zone: BTreeMap<(&str, &str), Vec<(usize, u64)>> = BTreeMap::new();
+        for (key, host) in &self.hosts {
+            let place = Lot::of(self.me, &host.line.id, &self.gateways).place;
+            by_zone.entry((&host.line.service, &host.line.zone)).or_default().push((place, *key));
+        }
+        let zones = self.zones.len().max(1) as f64;
+        let mut own = BTreeSet::new();
+        for hosts in by_zone.values_mut() {
+            hosts.sort_unstable();
+            let part = hosts.len() as f64 * zones / self.gateways.len().max(1) as f64;
+            let most = ((part * OWN_PARTS).ceil() as usize).max(LEAST_OWN);
+            own.extend(hosts.iter().take(most).map(|(_, key)| *key));
+        }
+        self.hosts.iter_mut().for_each(|(key, host)| host.own = own.contains(key));
+    }
+
     /// Hosts known, and of these ready ones.
     pub fn count(&self) -> (usize, usize) {
         (self.hosts.len(), self.hosts.values().filter(|h| !h.gone && !h.line.draining).count())
@@ -301,6 +332,7 @@
             (_, true) => TO_ZONE * goal,
             _ => TO_REGION * goal,
         };
+        let way = if host.own { way } else { way + TO_STRANGER * goal };
         let silent = host.asked.is_some_and(|at| now - at > (work * DOUBT_WORK).max(DOUBT_LEAST));
         let doubt = if silent { goal } else { 0.0 };
         (expected, expected + way + doubt)
--- a/berth/src/pool.rs
+++ b/berth/src/pool.rs
@@ -11,7 +11,7 @@
 
 /// Where hosts are full, so much of the goal time is to be spent at them: a request let in beyond that comes late, and keeps
 /// those behind it late as well.
-const AT_HOST: f64 = 0.5;
+const AT_HOST: f64 = 0.65;
 const LEAST_LOAD: f64 = 1.2;
 /// The part that is let in moves by this with each answer, for a load that is off by its whole aim: many gateways, each with
 /// a few answers a second, have to come to rest together.
