--- a/berth/src/pool.rs
+++ b/berth/src/pool.rs
@@ -11,7 +11,7 @@
 
 /// Where hosts are full, so much of the goal time is to be spent at them: a request let in beyond that comes late, and keeps
 /// those behind it late as well.
-const AT_HOST: f64 = 0.65;
+const AT_HOST: f64 = 0.85;
 const LEAST_LOAD: f64 = 1.2;
 /// The part that is let in, in a second, for a load that is off by its whole aim: it shrinks by a part of itself and grows by
 /// a part of all, so that many gateways come to rest at the same. By time and not by answers: who lets few in hears few.
