--- a/berth/src/choice.rs
+++ b/berth/src/choice.rs
@@ -33,6 +33,11 @@
 /// First rest of a host that is not reached, doubled up to the longest.
 const FIRST_REST: f64 = 0.3;
 const MOST_DOUBLINGS: u32 = 4;
+/// One failure makes a host this ill, of 1; an answer makes it better by the same part, and time alone in about these
+/// seconds, so that a trickle finds out whether it is well again. All ill, it counts as farther off by so many goal times.
+const ILL_STEP: f64 = 0.25;
+const ILL_LAST: f64 = 4.0;
+const ILL_COST: f64 = 1.5;
 /// A host is doubted once it has answered nothing for so long, in its usual work and at least in seconds.
 const DOUBT_WORK: f64 = 5.0;
 const DOUBT_LEAST: f64 = 0.4;
@@ -103,6 +108,8 @@
 pub enum End {
     /// Whole; with running, waiting and slots where the host told.
     Answered(Option<(f64, f64, f64)>),
+    /// Whole, and a failure of the host's own.
+    Failed(Option<(f64, f64, f64)>),
     /// It says that it did not run it.
     Full(Option<(f64, f64, f64)>),
     /// Another host has the address.
@@ -125,6 +132,9 @@
     slots: f64,
     rests: u32,
     rest_until: f64,
+    /// How much of what is sent there fails, lately.
+    ill: f64,
+    ill_at: f64,
     /// First request since it last answered.
     asked: Option<f64>,
     cold_until: f64,
@@ -137,6 +147,18 @@
     moved: bool,
 }
 
+impl Host {
+    fn ill(&self, now: f64) -> f64 {
+        self.ill * (-(now - self.ill_at) / ILL_LAST).exp()
+    }
+
+    fn fared(&mut self, now: f64, well: bool) {
+        let before = self.ill(now);
+        self.ill = before + ILL_STEP * (if well { 0.0 } else { 1.0 } - before);
+        self.ill_at = now;
+    }
+}
+
 /// A service's hosts, and what is known of them as a whole in each region.
 #[derive(Default)]
 struct Fleet {
@@ -237,6 +259,8 @@
                 slots: f64::from(line.capacity.max(1)),
                 rests: 0,
                 rest_until: 0.0,
+                ill: 0.0,
+                ill_at: now,
                 asked: None,
                 cold_until,
                 cold_sent: VecDeque::new(),
@@ -345,7 +369,7 @@
         let way = if host.own { way } else { way + TO_STRANGER * goal };
         let silent = host.asked.is_some_and(|at| now - at > (work * DOUBT_WORK).max(DOUBT_LEAST));
         let doubt = if silent { goal } else { 0.0 };
-        (expected, expected + way + doubt)
+        (expected, expected + way + doubt + host.ill(now) * ILL_COST * goal)
     }
 
     /// The host where a request is expected to be done first; none where none is expected to do it in time.
@@ -405,12 +429,12 @@
         let mut pool = fleet.and_then(|fleet| fleet.pools.get_mut(&host.region));
         let before = host.out;
         host.out = (host.out - 1.0).max(0.0);
-        if let End::Answered(_) | End::Full(_) = end {
+        if let End::Answered(_) | End::Failed(_) | End::Full(_) = end {
             host.asked = if host.out > 0.0 { Some(now) } else { None };
             host.rests = 0;
         }
-        if let End::Answered(Some((running, waiting, slots))) | End::Full(Some((running, waiting, slots))) =
-            end
+        if let End::Answered(load) | End::Failed(load) | End::Full(load) = end
+            && let Some((running, waiting, slots)) = load
         {
             host.slots = if slots >= 1.0 { slots } else { host.slots };
             // What it told was true before this one ended: this gateway's part is taken off.
@@ -422,7 +446,10 @@
             }
         }
         match end {
+            // How quickly it fails says nothing of its work.
+            End::Failed(_) => host.fared(now, false),
             End::Answered(_) => {
+                host.fared(now, true);
                 let alone = took / ((before + host.others) / host.slots).max(1.0);
                 host.work = if host.work > 0.0 { host.work + WORK_STEP * (alone - host.work) } else { alone };
                 if let Some(pool) = pool {
@@ -435,9 +462,13 @@
                 host.rests += 1;
                 let rest = FIRST_REST * f64::from(1 << (host.rests - 1).min(MOST_DOUBLINGS));
                 host.rest_until = host.rest_until.max(now + rest);
+                host.fared(now, false);
+                host.asked = None;
+            }
+            End::Broken => {
                 host.asked = None;
+                host.fared(now, false);
             }
-            End::Broken => host.asked = None,
         }
     }
 }
--- a/berth/src/pool.rs
+++ b/berth/src/pool.rs
@@ -53,7 +53,8 @@
         let aim = (AT_HOST * self.goal / self.work()).max(LEAST_LOAD);
         let off = (load / aim - 1.0).clamp(-1.0, MOST_OFF);
         let (open, passed) = (self.open(now), (now - self.at).clamp(0.0, STANDS_FOR));
-        let moved = if off > 0.0 { open * (-SHUTS * off * passed).exp() } else { open - OPENS * off * passed };
+        let moved =
+            if off > 0.0 { open * (-SHUTS * off * passed).exp() } else { open - OPENS * off * passed };
         self.open = moved.clamp(LEAST_OPEN, 1.0);
     }
 
--- a/berth/tests/choice.rs
+++ b/berth/tests/choice.rs
@@ -83,6 +83,31 @@
     assert!(chosen(&mut berth, 0.6, &need()).is_some());
 }
 
+/// Guards against a host that fails half of what it gets, quickly, and so looks the least busy of all.
+#[test]
+fn a_host_that_fails_gets_a_trickle_and_is_found_well_again() {
+    let mut berth = berth();
+    berth.list(0.0, &[line("ill", "a", 0.0), line("well", "a", 0.0)]);
+    let mut now = 0.0;
+    let mut to_ill = |berth: &mut Berth, fails: bool| {
+        (0..200).fold(0, |count, n| {
+            now += 0.05;
+            let to = berth.choose(now, &need()).unwrap();
+            berth.sent(now, to.key, 0.3);
+            let ill = to.id == "ill";
+            let (took, end) = match ill && fails && n % 2 == 0 {
+                true => (0.002, End::Failed(Some((0.0, 0.0, 2.0)))),
+                false => (0.06, End::Answered(Some((1.0, 0.0, 2.0)))),
+            };
+            berth.ended(now + took, to.key, took, end);
+            count + i32::from(ill)
+        })
+    };
+    let (ill, well) = (to_ill(&mut berth, true), to_ill(&mut berth, false));
+    assert!((1..25).contains(&ill), "{ill} of 200 while it fails");
+    assert!(well > 45 && well > 2 * ill, "{well} of 200 once it is well, {ill} before");
+}
+
 /// Nine gateways that earn and spend all they can keep the rule in any window of requests.
 #[test]
 fn further_tries_of_all_gateways_stay_within_the_rule() {
--- a/berth/tests/crowd.rs
+++ b/berth/tests/crowd.rs
@@ -33,10 +33,32 @@
 #[derive(Clone, Copy)]
 enum What {
     /// A client asks: its first try was at, and how many before this one.
-    Asks { first: f64, tries: u32 },
-    Arrives { gateway: usize, key: u64, host: usize, sent: f64, first: (f64, f64) },
-    Ends { host: usize, gateway: usize, key: u64, sent: f64, first: (f64, f64) },
-    Answers { gateway: usize, key: u64, sent: f64, first: (f64, f64), load: (f64, f64, f64), full: bool },
+    Asks {
+        first: f64,
+        tries: u32,
+    },
+    Arrives {
+        gateway: usize,
+        key: u64,
+        host: usize,
+        sent: f64,
+        first: (f64, f64),
+    },
+    Ends {
+        host: usize,
+        gateway: usize,
+        key: u64,
+        sent: f64,
+        first: (f64, f64),
+    },
+    Answers {
+        gateway: usize,
+        key: u64,
+        sent: f64,
+        first: (f64, f64),
+        load: (f64, f64, f64),
+        full: bool,
+    },
 }
 
 #[derive(Default)]
@@ -123,7 +145,11 @@
                 let (here, n) = (&mut hosts[host], host);
                 if here.running < SLOTS {
                     here.running += 1;
-                    put(&mut queue, now + work(&mut chance), What::Ends { host: n, gateway, key, sent, first });
+                    put(
+                        &mut queue,
+                        now + work(&mut chance),
+                        What::Ends { host: n, gateway, key, sent, first },
+                    );
                 } else if here.waiting.len() < QUEUE {
                     here.waiting.push_back((gateway, key, sent, first));
                 } else {
--- a/bridge/src/views.rs
+++ b/bridge/src/views.rs
@@ -43,7 +43,9 @@
         match self {
             Turn::Chart(chart) => format!("configuration {:08x} is in force", chart.version),
             Turn::Evacuated(zones) => format!("evacuated zones: {zones:?}"),
-            Turn::Hosts(hosts) => format!("list {}.{}: {} hosts", hosts.term, hosts.version, hosts.lines.len()),
+            Turn::Hosts(hosts) => {
+                format!("list {}.{}: {} hosts", hosts.term, hosts.version, hosts.lines.len())
+            }
             Turn::Pilots => "other data gateways".to_string(),
             Turn::Keepers => "other control gateways".to_string(),
             Turn::Posts => "a duty moved".to_string(),
--- a/harbour/src/lib.rs
+++ b/harbour/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod helm;
 pub mod journal;
 pub mod roster;
+pub mod texts;
 pub mod voter;
 
 use signal::{Node, Post, Register, Slot, Word};
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -6,10 +6,11 @@
 use chart::{Chart, Settings};
 use harbour::control::Control;
 use harbour::helm::Change;
+use harbour::texts::Texts;
 use harbour::{Act, Record};
 use logbook::{Entered, Logbook};
 use mooring::{Clock, Out};
-use signal::{Add, Held, Node, Piece, Register, Vector, Word, pack};
+use signal::{Add, Node, Piece, Register, Vector, Word, pack};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -19,9 +20,6 @@
 /// Words for this gateway itself or for others once the disk has what they stand for.
 pub type Kept = Vec<(Node, Word)>;
 
-/// Texts kept to make patches on: a data gateway is rarely further behind.
-const MOST_TEXTS: usize = 8;
-
 pub struct Port {
     pub settings: Settings,
     pub clock: Clock,
@@ -36,9 +34,7 @@
     tokens: Cell<u64>,
     /// The configuration in force, read.
     chart: RefCell<Option<Rc<Chart>>>,
-    /// The last texts that were in force, by stamp, the newest at the back; and patches made between two of them.
-    texts: RefCell<VecDeque<(u64, Rc<Vec<u8>>)>>,
-    patches: RefCell<HashMap<u64, Bytes>>,
+    texts: RefCell<Texts>,
     voters_kept: Cell<bool>,
     pub leaving: Cell<bool>,
     /// Rung when something is learned or confirmed.
@@ -67,7 +63,6 @@
             tokens: Cell::new(0),
             chart: RefCell::default(),
             texts: RefCell::default(),
-            patches: RefCell::default(),
             voters_kept: Cell::new(false),
             leaving: Cell::new(false),
             news: Notify::new(),
@@ -166,12 +161,7 @@
                 Ok(chart) => *self.chart.borrow_mut() = Some(Rc::new(chart)),
                 Err(e) => log::error!("the chosen configuration can't be read: {e}"),
             }
-            let mut texts = self.texts.borrow_mut();
-            texts.push_back((held.stamp, Rc::new(text)));
-            if texts.len() > MOST_TEXTS {
-                texts.pop_front();
-            }
-            self.patches.borrow_mut().clear();
+            self.texts.borrow_mut().learned(held.stamp, text);
         }
         drop(control);
         self.tell_sessions();
@@ -182,26 +172,12 @@
         let mut pieces = self.look(|control, now| control.lacking(now, theirs, false));
         for piece in &mut pieces {
             if let Piece::Chosen(Register::Chart, held) = piece {
-                *piece = self.patch(held, theirs.chart);
+                *piece = self.texts.borrow_mut().piece(held, theirs.chart);
             }
         }
         pieces
     }
 
-    fn patch(&self, held: &Held, base: u64) -> Piece {
-        let whole = || Piece::Chart { stamp: held.stamp, base: 0, packed: held.value.clone() };
-        let texts = self.texts.borrow();
-        let text = |stamp: u64| texts.iter().find(|(known, _)| *known == stamp).map(|(_, text)| text.clone());
-        let (Some(new), Some(old)) = (text(held.stamp), text(base)) else { return whole() };
-        if let Some(packed) = self.patches.borrow().get(&base) {
-            return Piece::Chart { stamp: held.stamp, base, packed: packed.clone() };
-        }
-        let Ok(packed) = pack::pack(&new, &old) else { return whole() };
-        let packed = Bytes::from(packed);
-        self.patches.borrow_mut().insert(base, packed.clone());
-        Piece::Chart { stamp: held.stamp, base, packed }
-    }
-
     /// Lets all data gateways in session know that there is something to pull.
     pub fn tell_sessions(&self) {
         let beat = self.look(|control, now| control.beat(now, 0));
--- a/pilot/src/hand_off.rs
+++ b/pilot/src/hand_off.rs
@@ -120,7 +120,7 @@
                 _ if reply.fields[NOT_EXECUTED].once() == Some("1") => {
                     (Ended::Declined, End::Full(load), None)
                 }
-                500.. => (Ended::Failed, End::Answered(load), Some(reply)),
+                500.. => (Ended::Failed, End::Failed(load), Some(reply)),
                 _ => (Ended::Honoured, End::Answered(load), Some(reply)),
             }
         }
