The door goes by how long answers take; a rest after reading a configuration

It goes by answers' time against 0.9 of the goal time now, and work is learned from hosts with a slot free.

--- a/berth/src/choice.rs
+++ b/berth/src/choice.rs
@@ -433,6 +433,13 @@
             host.asked = if host.out > 0.0 { Some(now) } else { None };
             host.rests = 0;
         }
+        if let Some(pool) = &mut pool {
+            match end {
+                End::Answered(_) => pool.took(now, took),
+                End::Full(_) => pool.took(now, f64::INFINITY),
+                _ => {}
+            }
+        }
         if let End::Answered(load) | End::Failed(load) | End::Full(load) = end
             && let Some((running, waiting, slots)) = load
         {
@@ -448,12 +455,14 @@
         match end {
             // How quickly it fails says nothing of its work.
             End::Failed(_) => host.fared(now, false),
-            End::Answered(_) => {
+            End::Answered(load) => {
                 host.fared(now, true);
                 let alone = took / ((before + host.others) / host.slots).max(1.0);
                 host.work = if host.work > 0.0 { host.work + WORK_STEP * (alone - host.work) } else { alone };
-                if let Some(pool) = pool {
-                    pool.worked(alone);
+                // Where others wait too nobody knows how long this one did: only a host with a slot free tells of its work.
+                let free = |(running, waiting, slots): (f64, f64, f64)| waiting <= 0.0 && running < slots;
+                if let Some(pool) = pool.filter(|_| load.is_none_or(free)) {
+                    pool.worked(alone.min(took));
                 }
             }
             End::Full(_) => host.others = host.others.max(host.slots * 2.0),
--- a/berth/src/pool.rs
+++ b/berth/src/pool.rs
@@ -11,8 +11,7 @@
 
 /// Where hosts are full, so much of the goal time is to be spent at them: a request let in beyond that comes late, and keeps
 /// those behind it late as well.
-const AT_HOST: f64 = 0.85;
-const LEAST_LOAD: f64 = 1.2;
+const AT_HOST: f64 = 0.9;
 /// The part that is let in, in a second, for a load that is off by its whole aim: it shrinks by a part of itself and grows by
 /// a part of all, so that many gateways come to rest at the same. By time and not by answers: who lets few in hears few.
 const SHUTS: f64 = 4.0;
@@ -30,11 +29,12 @@
     heard: f64,
     goal: f64,
     open: f64,
+    steered: f64,
 }
 
 impl Default for Pool {
     fn default() -> Pool {
-        Pool { load: 0.0, at: 0.0, work: 0.0, heard: 0.0, goal: 0.0, open: 1.0 }
+        Pool { load: 0.0, at: 0.0, work: 0.0, heard: 0.0, goal: 0.0, open: 1.0, steered: 0.0 }
     }
 }
 
@@ -46,21 +46,22 @@
 
     /// The part of the requests that is let in: below 1 where there are more than these hosts can answer in time.
     pub fn open(&self, now: f64) -> f64 {
-        (self.open + OPENS * (now - self.at - STANDS_FOR).max(0.0)).min(1.0)
+        (self.open + OPENS * (now - self.steered - STANDS_FOR).max(0.0)).min(1.0)
     }
 
-    fn steer(&mut self, now: f64, load: f64) {
-        let aim = (AT_HOST * self.goal / self.work()).max(LEAST_LOAD);
-        let off = (load / aim - 1.0).clamp(-1.0, MOST_OFF);
-        let (open, passed) = (self.open(now), (now - self.at).clamp(0.0, STANDS_FOR));
+    /// An answer took so long; infinite where it was turned away.
+    pub fn took(&mut self, now: f64, took: f64) {
+        let aim = AT_HOST * self.goal;
+        let off = (took / aim.max(1e-3) - 1.0).clamp(-1.0, MOST_OFF);
+        let (open, passed) = (self.open(now), (now - self.steered).clamp(0.0, STANDS_FOR));
         let moved =
             if off > 0.0 { open * (-SHUTS * off * passed).exp() } else { open - OPENS * off * passed };
         self.open = moved.clamp(LEAST_OPEN, 1.0);
+        self.steered = now;
     }
 
     /// A host told what runs and waits there, for each of its slots.
     pub fn told(&mut self, now: f64, load: f64) {
-        self.steer(now, load);
         let before = self.load(now);
         self.load = before + STEP.max(1.0 / (self.heard + 1.0)) * (load.max(0.0) - before);
         self.at = now;
--- a/bridge/src/session.rs
+++ b/bridge/src/session.rs
@@ -14,6 +14,9 @@
 const STALE: f64 = 2.0;
 /// What was asked for and has not come is asked for again after this.
 const PULL_AGAIN: f64 = 1.0;
+/// After a configuration the next one may wait so long: to read one whole takes a small machine's time from its requests, and
+/// of several in quick succession only the last one counts.
+const CHART_REST: f64 = 0.4;
 /// A control gateway that failed is called after all others for so long.
 const SHUN: f64 = 5.0;
 /// How long a session in another zone stands before a nearer control gateway is tried again.
@@ -54,6 +57,8 @@
     /// When a majority was last known to answer it.
     fresh: f64,
     pulled: f64,
+    /// Nothing is pulled before.
+    rest_until: f64,
     /// Hails out, by number, with the time of each.
     sent: HashMap<u64, f64>,
     hail_at: f64,
@@ -130,8 +135,8 @@
             return self.end(now, node, &why);
         }
         let (began, heard, fresh, hail_at) = (now, now, now, now);
-        let (pulled, sent) = (f64::NEG_INFINITY, HashMap::new());
-        let standing = Standing { node, far, began, heard, fresh, pulled, sent, hail_at };
+        let (pulled, rest_until, sent) = (f64::NEG_INFINITY, f64::NEG_INFINITY, HashMap::new());
+        let standing = Standing { node, far, began, heard, fresh, pulled, rest_until, sent, hail_at };
         self.phase = Phase::Standing(Box::new(standing));
         Vec::new()
     }
@@ -160,7 +165,7 @@
                 let lacks = views.lacks(&beat.vector);
                 let turns = views.append(now, Event::Heard { beat, asked });
                 // What is on its way is not asked for twice: a narrow link would carry it twice.
-                if lacks && now > standing.pulled + PULL_AGAIN {
+                if lacks && now > standing.pulled + PULL_AGAIN && now >= standing.rest_until {
                     standing.pulled = now;
                     return (vec![Act::Send(Word::Pull(views.vector().clone()))], turns);
                 }
@@ -171,7 +176,11 @@
                 // What it vouched for may be held only now.
                 standing.hail_at = now;
                 let told = pieces.into_iter().flat_map(|piece| views.append(now, Event::Told(piece)));
-                (Vec::new(), told.collect())
+                let turns: Vec<Turn> = told.collect();
+                if turns.iter().any(|turn| matches!(turn, Turn::Chart(_))) {
+                    standing.rest_until = now + CHART_REST;
+                }
+                (Vec::new(), turns)
             }
             _ => Default::default(),
         }
