Lists of hosts go to data gateways as patches; how the fleet grows, in bytes

Need: a list went whole to each data gateway at each change, 13 kB at 360 hosts, on 2 Mbit/s links; nothing may grow with gateways x hosts. The same packing as for configurations, both in harbour::news, which the driver and the tests share.

--- a/bridge/src/views.rs
+++ b/bridge/src/views.rs
@@ -4,7 +4,7 @@
 //! configuration that it does not hold.
 
 use chart::Chart;
-use signal::{Beat, Duty, Keeper, Node, Piece, Post, Register, Vector, evacuated, nodes_stamp, pack};
+use signal::{Beat, Duty, Hosts, Keeper, Node, Piece, Post, Register, Vector, evacuated, nodes_stamp, pack};
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -25,7 +25,7 @@
 pub enum Turn {
     Chart(Rc<Chart>),
     Evacuated(BTreeSet<String>),
-    Hosts(signal::Hosts),
+    Hosts(Hosts),
     /// Who else carries traffic.
     Pilots,
     Keepers,
@@ -60,8 +60,9 @@
     lease: f64,
     events: VecDeque<(f64, String)>,
     chart: Option<Rc<Chart>>,
-    /// Its text, on which the next one comes as a patch.
+    /// Its text, and the bytes of the list of hosts, on which the next ones come as patches.
     text: Vec<u8>,
+    list: Vec<u8>,
     vouched: f64,
     vector: Vector,
     posts: Vec<Post>,
@@ -78,6 +79,7 @@
             events: VecDeque::new(),
             chart: None,
             text: Vec::new(),
+            list: Vec::new(),
             vouched: f64::NEG_INFINITY,
             vector: Vector::default(),
             posts: Vec::new(),
@@ -194,10 +196,16 @@
                 self.vector.evacuations = held.stamp;
                 Some(Turn::Evacuated(evacuated(&held.value)))
             }
-            Piece::Hosts(hosts) if (hosts.term, hosts.version) > self.vector.hosts => {
-                self.vector.hosts = (hosts.term, hosts.version);
+            Piece::Hosts(hosts) if hosts.stamp() > self.vector.hosts => {
+                (self.list, self.vector.hosts) = (hosts.to_bytes(), hosts.stamp());
                 Some(Turn::Hosts(hosts))
             }
+            // A patch on another list than the one held was made for what was held before: asked for again.
+            Piece::HostsPatch { stamp, base, packed }
+                if stamp > self.vector.hosts && base == self.vector.hosts =>
+            {
+                self.patch_hosts(stamp, &packed)
+            }
             Piece::Keepers(keepers) => {
                 self.vector.keepers = nodes_stamp(keepers.iter().map(|k| k.node));
                 self.keepers = keepers;
@@ -212,6 +220,23 @@
         }
     }
 
+    fn patch_hosts(&mut self, stamp: (u64, u64), packed: &[u8]) -> Option<Turn> {
+        let read = pack::unpack(packed, &self.list).and_then(|list| Ok((Hosts::from_bytes(&list)?, list)));
+        match read {
+            Ok((hosts, list)) if hosts.stamp() == stamp => {
+                (self.list, self.vector.hosts) = (list, stamp);
+                Some(Turn::Hosts(hosts))
+            }
+            // Asked for as a whole: nothing is held.
+            _ => {
+                self.vector.hosts = (0, 0);
+                Some(Turn::Unusable(
+                    "a change of the list of hosts can't be read; the whole is asked for".into(),
+                ))
+            }
+        }
+    }
+
     fn unpack(&mut self, stamp: u64, base: u64, packed: &[u8]) -> Option<Turn> {
         if base != 0 && base != self.vector.chart {
             // Made for what was held when it was asked for: the next beat has it asked for again.
--- a/bridge/tests/hundred.rs
+++ b/bridge/tests/hundred.rs
@@ -8,9 +8,9 @@
 use harbour::control::{Control, Start};
 use harbour::helm::Change;
 use harbour::journal::Event;
-use harbour::texts::Texts;
+use harbour::news::News;
 use harbour::{Act, Record};
-use signal::{HostLine, Hosts, Keeper, Node, Piece, Pilot, Register, Word, pack};
+use signal::{HostLine, Hosts, Keeper, Node, Pilot, Register, Word, pack};
 use std::collections::BTreeMap;
 
 const ZONES: usize = 6;
@@ -23,7 +23,7 @@
 
 struct Core {
     control: Control,
-    texts: Texts,
+    news: News,
     sessions: BTreeMap<Node, f64>,
 }
 
@@ -35,6 +35,7 @@
     line: Option<Node>,
     /// Configurations that it read.
     charts: usize,
+    hosts: Hosts,
 }
 
 /// Bytes as framed: the length before each word.
@@ -85,7 +86,7 @@
             seed: self.chance.rand_u64(),
         };
         let control = Control::new(self.now, start);
-        self.cores.insert(node, Core { control, texts: Texts::default(), sessions: BTreeMap::new() });
+        self.cores.insert(node, Core { control, news: News::default(), sessions: BTreeMap::new() });
         for other in 1..=6 {
             for (from, to) in [(node, other), (other, node)] {
                 if let Some(core) = self.cores.get(&from).filter(|_| from != to) {
@@ -100,7 +101,17 @@
         let at = node as usize % ZONES;
         let (zone, region) = zone(at);
         let session = Session::new(Place { node, zone, region, seeds: vec![1, 2, 3] });
-        self.ships.insert(node, Ship { session, views: Views::new(LEASE), zone: at, line: None, charts: 0 });
+        self.ships.insert(
+            node,
+            Ship {
+                session,
+                views: Views::new(LEASE),
+                zone: at,
+                line: None,
+                charts: 0,
+                hosts: Hosts::default(),
+            },
+        );
     }
 
     fn send(&mut self, from: Node, to: Node, word: Word) {
@@ -129,7 +140,7 @@
                 Act::Learned(Register::Chart) => {
                     let core = self.cores.get_mut(&node).unwrap();
                     let held = core.control.helm.chosen(Register::Chart).unwrap();
-                    core.texts.learned(held.stamp, pack::unpack(&held.value, b"").unwrap());
+                    core.news.learned_chart(held.stamp, pack::unpack(&held.value, b"").unwrap());
                     self.tell(node);
                 }
                 Act::Learned(_) => self.tell(node),
@@ -159,12 +170,7 @@
             Word::Pull(theirs) if from >= 100 => {
                 let now = self.now;
                 let Some(core) = self.cores.get_mut(&node) else { return };
-                let mut pieces = core.control.lacking(now, &theirs, false);
-                for piece in &mut pieces {
-                    if let Piece::Chosen(Register::Chart, held) = piece {
-                        *piece = core.texts.piece(held, theirs.chart);
-                    }
-                }
+                let pieces = core.news.lacking(now, &core.control, &theirs);
                 self.send(node, from, Word::News(pieces));
             }
             word => self.core(node, |control, now| control.hear(now, from, word)),
@@ -207,6 +213,13 @@
         let (acts, turns) = ship.session.hear(now, word, &mut ship.views);
         assert!(!turns.iter().any(|turn| matches!(turn, Turn::Unusable(_))), "{turns:?}");
         ship.charts += turns.iter().filter(|turn| matches!(turn, Turn::Chart(_))).count();
+        let list = turns
+            .iter()
+            .rev()
+            .find_map(|turn| if let Turn::Hosts(hosts) = turn { Some(hosts) } else { None });
+        if let Some(hosts) = list {
+            ship.hosts = hosts.clone();
+        }
         if !turns.is_empty() {
             ship.session.hurry(now);
         }
@@ -315,6 +328,18 @@
     sea.run(5.0);
     let (ship, core) = (most(&sea, 100).unwrap() / 5, most(&sea, 1).unwrap() / 5);
     assert!(ship < 1200 && core < 40_000, "{ship} and {core} bytes a second at rest");
+    // Hosts come and go one by one: all hear of it, in bytes for what changed.
+    sea.bytes.clear();
+    for version in 2..7 {
+        let mut list = hosts(version, 230 + version as usize);
+        list.lines.remove(version as usize * 9);
+        list.lines[version as usize].draining = true;
+        sea.core(2, |control, now| control.list(now, list.clone()));
+        sea.run(1.0);
+        assert!(sea.ships.values().all(|ship| ship.hosts == list), "list {version}");
+    }
+    let ship = most(&sea, 100).unwrap();
+    assert!(ship < 5 * (1200 + 700), "{ship} bytes for five changes of the list");
     // Three hundred routes more: in force everywhere within a second, for less than the text packed by itself at each.
     sea.bytes.clear();
     let whole = sea.replace(1, 2, 340);
--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -202,7 +202,7 @@
                 }
                 Piece::Sessions(sessions) => drop(self.journal.append(now, Event::Told(sessions))),
                 // For data gateways alone.
-                Piece::Chart { .. } | Piece::Pilots(_) => {}
+                Piece::Chart { .. } | Piece::HostsPatch { .. } | Piece::Pilots(_) => {}
             }
         }
         acts
--- a/harbour/src/lib.rs
+++ b/harbour/src/lib.rs
@@ -8,8 +8,9 @@
 pub mod founding;
 pub mod helm;
 pub mod journal;
+pub mod news;
 pub mod roster;
-pub mod texts;
+mod texts;
 pub mod voter;
 
 use signal::{Node, Post, Register, Slot, Word};
--- a/harbour/src/texts.rs
+++ b/harbour/src/texts.rs
@@ -1,25 +1,31 @@
-//! The last texts of the configuration that were in force, and patches between them: what a data gateway is sent is the
+//! The last texts of one kind that were in force, by stamp, and patches between them: what a data gateway is sent is the
 //! change on the text that it holds, packed once for all that hold the same. Must never make a patch on a text that it does
 //! not know whole.
 
 use bytes::Bytes;
-use signal::{Held, Piece, pack};
+use signal::pack;
 use std::collections::{HashMap, VecDeque};
+use std::hash::Hash;
 
 /// Texts kept to make patches on: a data gateway is rarely further behind.
 const MOST: usize = 8;
 
-#[derive(Default)]
-pub struct Texts {
-    /// By stamp, the newest at the back.
-    texts: VecDeque<(u64, Vec<u8>)>,
+pub struct Texts<S> {
+    /// The newest at the back.
+    texts: VecDeque<(S, Vec<u8>)>,
     /// Patches to the newest, by the stamp of the text that they are made on.
-    patches: HashMap<u64, Bytes>,
+    patches: HashMap<S, Bytes>,
 }
 
-impl Texts {
+impl<S> Default for Texts<S> {
+    fn default() -> Texts<S> {
+        Texts { texts: VecDeque::new(), patches: HashMap::new() }
+    }
+}
+
+impl<S: Copy + Eq + Hash> Texts<S> {
     /// A text came into force.
-    pub fn learned(&mut self, stamp: u64, text: Vec<u8>) {
+    pub fn learned(&mut self, stamp: S, text: Vec<u8>) {
         self.texts.push_back((stamp, text));
         if self.texts.len() > MOST {
             self.texts.pop_front();
@@ -27,26 +33,20 @@
         self.patches.clear();
     }
 
-    fn text(&self, stamp: u64) -> Option<&[u8]> {
-        self.texts.iter().find(|(known, _)| *known == stamp).map(|(_, text)| text.as_slice())
+    /// The stamp of the newest.
+    pub fn newest(&self) -> Option<S> {
+        self.texts.back().map(|(stamp, _)| *stamp)
     }
 
-    /// What brings a reader that holds the text of stamp `base` to `held`: a patch, or the whole where that is not known.
-    pub fn piece(&mut self, held: &Held, base: u64) -> Piece {
-        let stamp = held.stamp;
+    /// What brings a reader that holds the text of stamp `base` to the newest; none where that text is not known here.
+    pub fn patch(&mut self, base: S) -> Option<Bytes> {
         if let Some(packed) = self.patches.get(&base) {
-            return Piece::Chart { stamp, base, packed: packed.clone() };
-        }
-        let packed = match (self.text(stamp), self.text(base)) {
-            (Some(new), Some(old)) => pack::pack(new, old).ok(),
-            _ => None,
-        };
-        match packed.map(Bytes::from) {
-            Some(packed) => {
-                self.patches.insert(base, packed.clone());
-                Piece::Chart { stamp, base, packed }
-            }
-            None => Piece::Chart { stamp, base: 0, packed: held.value.clone() },
+            return Some(packed.clone());
         }
+        let (_, new) = self.texts.back()?;
+        let (_, old) = self.texts.iter().find(|(known, _)| *known == base)?;
+        let packed = Bytes::from(pack::pack(new, old).ok()?);
+        self.patches.insert(base, packed.clone());
+        Some(packed)
     }
 }
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -6,7 +6,7 @@
 use chart::{Chart, Settings};
 use harbour::control::Control;
 use harbour::helm::Change;
-use harbour::texts::Texts;
+use harbour::news::News;
 use harbour::{Act, Record};
 use logbook::{Entered, Logbook};
 use mooring::{Clock, Out};
@@ -34,7 +34,7 @@
     tokens: Cell<u64>,
     /// The configuration in force, read.
     chart: RefCell<Option<Rc<Chart>>>,
-    texts: RefCell<Texts>,
+    texts: RefCell<News>,
     voters_kept: Cell<bool>,
     pub leaving: Cell<bool>,
     /// Rung when something is learned or confirmed.
@@ -161,21 +161,15 @@
                 Ok(chart) => *self.chart.borrow_mut() = Some(Rc::new(chart)),
                 Err(e) => log::error!("the chosen configuration can't be read: {e}"),
             }
-            self.texts.borrow_mut().learned(held.stamp, text);
+            self.texts.borrow_mut().learned_chart(held.stamp, text);
         }
         drop(control);
         self.tell_sessions();
     }
 
-    /// What a data gateway lacks; the configuration as a patch on the one that it holds, where that is still known here.
+    /// What a data gateway lacks.
     pub fn lacking(&self, theirs: &Vector) -> Vec<Piece> {
-        let mut pieces = self.look(|control, now| control.lacking(now, theirs, false));
-        for piece in &mut pieces {
-            if let Piece::Chosen(Register::Chart, held) = piece {
-                *piece = self.texts.borrow_mut().piece(held, theirs.chart);
-            }
-        }
-        pieces
+        self.look(|control, now| self.texts.borrow_mut().lacking(now, control, theirs))
     }
 
     /// Lets all data gateways in session know that there is something to pull.
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -120,6 +120,22 @@
     pub lines: Vec<HostLine>,
 }
 
+impl Hosts {
+    /// The lookout's term, and the number of the list in it.
+    pub fn stamp(&self) -> (u64, u64) {
+        (self.term, self.version)
+    }
+
+    /// The same bytes for the same list: patches are made between them.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    pub fn from_bytes(bytes: &[u8]) -> io::Result<Hosts> {
+        postcard::from_bytes(bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+    }
+}
+
 /// The data gateways in session with one control gateway, in one life of that.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sessions {
@@ -152,6 +168,12 @@
         packed: Bytes,
     },
     Hosts(Hosts),
+    /// The list of hosts of a stamp, as its bytes packed against those of another, which the reader holds.
+    HostsPatch {
+        stamp: (u64, u64),
+        base: (u64, u64),
+        packed: Bytes,
+    },
     Keepers(Vec<Keeper>),
     /// Data gateways that there may be, lately lost ones among them, in the order of their numbers.
     Pilots(Vec<Node>),
