--- a/berth/src/choice.rs
+++ b/berth/src/choice.rs
@@ -166,6 +166,10 @@
     pools: HashMap<String, Pool>,
 }
 
+fn pool_of<'a>(by_service: &'a mut HashMap<String, Fleet>, host: &Host) -> Option<&'a mut Pool> {
+    by_service.get_mut(&host.line.service)?.pools.get_mut(&host.region)
+}
+
 pub struct Berth {
     zone: String,
     region: String,
@@ -282,9 +286,7 @@
         for (key, host) in &self.hosts {
             let fleet = self.by_service.entry(host.line.service.clone()).or_default();
             fleet.keys.push(*key);
-            if !fleet.pools.contains_key(&host.region) {
-                fleet.pools.insert(host.region.clone(), Pool::default());
-            }
+            fleet.pools.entry(host.region.clone()).or_default();
         }
         self.by_service.retain(|_, fleet| !fleet.keys.is_empty());
         self.choose_own();
@@ -376,13 +378,15 @@
     pub fn choose(&mut self, now: f64, need: &Need) -> Option<Chosen> {
         let fleet = self.by_service.get(need.service)?;
         let mut best: Option<(f64, u64, f64)> = None;
+        let shuts = |pool: &Pool| need.door.is_some_and(|door| !door.lets_in(pool.open(now)));
+        let shut: Vec<&str> =
+            fleet.pools.iter().filter(|(_, pool)| shuts(pool)).map(|(region, _)| region.as_str()).collect();
         // A copy, as the rest is borrowed meanwhile.
         let mut chance = self.chance;
         for &key in &fleet.keys {
             let (Some(host), false) = (self.hosts.get(&key), need.tried.contains(&key)) else { continue };
             let Some(pool) = fleet.pools.get(&host.region) else { continue };
-            let let_in = need.door.is_none_or(|door| door.lets_in(pool.open(now)));
-            if !let_in || !self.fits(host, need, now) {
+            if shut.contains(&host.region.as_str()) || !self.fits(host, need, now) {
                 continue;
             }
             let (expected, weight) = self.weigh(host, need, pool, now);
@@ -403,8 +407,7 @@
     /// A request with that goal time goes to a host now.
     pub fn sent(&mut self, now: f64, key: u64, goal: f64) {
         let Some(host) = self.hosts.get_mut(&key) else { return };
-        let fleet = self.by_service.get_mut(&host.line.service);
-        if let Some(pool) = fleet.and_then(|fleet| fleet.pools.get_mut(&host.region)) {
+        if let Some(pool) = pool_of(&mut self.by_service, host) {
             pool.sent(if goal.is_finite() { goal } else { GOAL });
         }
         host.out += 1.0;
@@ -425,8 +428,7 @@
     /// A request to a host ended, `took` seconds after it was sent.
     pub fn ended(&mut self, now: f64, key: u64, took: f64, end: End) {
         let Some(host) = self.hosts.get_mut(&key) else { return };
-        let fleet = self.by_service.get_mut(&host.line.service);
-        let mut pool = fleet.and_then(|fleet| fleet.pools.get_mut(&host.region));
+        let mut pool = pool_of(&mut self.by_service, host);
         let before = host.out;
         host.out = (host.out - 1.0).max(0.0);
         if let End::Answered(_) | End::Failed(_) | End::Full(_) = end {
@@ -462,7 +464,7 @@
                 // Where others wait too nobody knows how long this one did: only a host with a slot free tells of its work.
                 let free = |(running, waiting, slots): (f64, f64, f64)| waiting <= 0.0 && running < slots;
                 if let Some(pool) = pool.filter(|_| load.is_none_or(free)) {
-                    pool.worked(alone.min(took));
+                    pool.worked(alone);
                 }
             }
             End::Full(_) => host.others = host.others.max(host.slots * 2.0),
--- a/bridge/src/views.rs
+++ b/bridge/src/views.rs
@@ -39,7 +39,7 @@
 
 impl Turn {
     /// One line for people.
-    fn line(&self) -> String {
+    pub fn line(&self) -> String {
         match self {
             Turn::Chart(chart) => format!("configuration {:08x} is in force", chart.version),
             Turn::Evacuated(zones) => format!("evacuated zones: {zones:?}"),
--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -132,10 +132,12 @@
         }
         let now = self.clock.now();
         for turn in turns {
+            if let Turn::Chart(_) | Turn::Evacuated(_) = turn {
+                log::info!("{}", turn.line());
+            }
             match turn {
                 Turn::Chart(chart) => self.take_chart(&chart),
                 Turn::Evacuated(zones) => {
-                    log::info!("evacuated zones: {zones:?}");
                     self.berth.borrow_mut().set_evacuated(now, zones);
                 }
                 Turn::Hosts(hosts) => {
@@ -154,7 +156,6 @@
     }
 
     fn take_chart(&self, chart: &Chart) {
-        log::info!("configuration {:08x} is in force", chart.version);
         let services = chart.services.values().map(|service| {
             let terms = ServiceTerms { cold_rate: service.cold_rate, cold_period: service.cold_period };
             (service.name.clone(), terms)
--- a/tally/src/share.rs
+++ b/tally/src/share.rs
@@ -4,7 +4,8 @@
 //!
 //! For a tenant of rate r and burst b the rule allows, in any window of W seconds and over all gateways,
 //! `(r W + b)(1 + overrun) + slack`. The counter grants at most `counted (r W + b)` of it, in the module's tiers. The rest,
-//! less `MARGIN` of it for what is on its way, is split evenly: each of n gateways lets on an n-th of it in any W seconds.
+//! less `MARGIN` of it for what is on its way, is split evenly, and what doesn't divide goes by lot: each of n gateways lets on an
+//! n-th of it, or the whole number above or below, in any W seconds.
 //! A gateway that starts anew waits for as long first, as its life before may have let on all of it a moment ago; one that
 //! is cut off or wakes from a freeze has no more than its own.
 
