--- a/bridge/tests/hundred.rs
+++ b/bridge/tests/hundred.rs
@@ -9,8 +9,8 @@
 use harbour::helm::Change;
 use harbour::journal::Event;
 use harbour::news::News;
-use harbour::{Act, Record};
-use signal::{HostLine, Hosts, Keeper, Node, Pilot, Register, Word, pack};
+use harbour::{Act, Outcome, Record};
+use signal::{HostLine, Hosts, Keeper, Muster, Node, Pilot, Register, Word, pack};
 use std::collections::BTreeMap;
 
 const ZONES: usize = 6;
@@ -52,7 +52,7 @@
     serial: u64,
     /// Bytes to and from each gateway.
     bytes: BTreeMap<Node, usize>,
-    done: Vec<bool>,
+    done: Vec<Outcome>,
 }
 
 impl Sea {
@@ -79,8 +79,8 @@
         let keeper = Keeper { node, zone, region, control: std::net::SocketAddrV4::new(node.into(), 80) };
         let start = Start {
             keeper,
-            voters: Vec::new(),
-            founding: Some((vec![1, 2, 3], 5)),
+            muster: Muster::first(&[1, 2, 3]),
+            needed: 5,
             slots: Some(BTreeMap::new()),
             posts: Vec::new(),
             seed: self.chance.rand_u64(),
@@ -144,7 +144,7 @@
                     self.tell(node);
                 }
                 Act::Learned(_) => self.tell(node),
-                Act::Done(_, well) => self.done.push(well),
+                Act::Done(_, outcome) => self.done.push(outcome),
             }
         }
     }
@@ -318,7 +318,7 @@
     sea.run(2.0);
     sea.replace(4, 1, 40);
     sea.run(1.0);
-    assert_eq!((sea.done.as_slice(), sea.with_version(1), sea.vouched()), (&[true][..], 100, 100));
+    assert_eq!((sea.done.as_slice(), sea.with_version(1), sea.vouched()), (&[Outcome::Chosen][..], 100, 100));
     sea.core(2, |control, now| control.list(now, hosts(1, 230)));
     sea.run(3.5);
     // All are counted by all, once those who only started may tell.
--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -3,13 +3,12 @@
 //! members. Must never read a clock or touch a socket: `harbourmaster` does that.
 
 use crate::duties::{Duties, Term};
-use crate::founding::{self, Founding};
 use crate::helm::{Change, Helm};
 use crate::journal::{Event, Journal};
 use crate::roster::Roster;
 use crate::voter::Voter;
-use crate::{Act, Record};
-use signal::{Beat, Duty, Hosts, Keeper, Node, Piece, Post, Register, Slot, Vector, Word};
+use crate::{Act, Outcome, Record, Refusal, Reseat};
+use signal::{Beat, Duty, Hosts, Keeper, Muster, Node, Piece, Poll, Post, Register, Slot, Vector, Word};
 use std::collections::BTreeMap;
 
 /// Between two signs of life to the other control gateways.
@@ -21,10 +20,10 @@
 /// What a control gateway starts from.
 pub struct Start {
     pub keeper: Keeper,
-    /// The set of voters as the disk has it; empty where it has none.
-    pub voters: Vec<Node>,
-    /// At the very first start of the whole system: the seeds, and how many disks are needed.
-    pub founding: Option<(Vec<Node>, usize)>,
+    /// Who votes as the disk has it, at the very first start the seeds; not known where the disk is empty later.
+    pub muster: Muster,
+    /// So many seats are needed for what may be lost at once.
+    pub needed: usize,
     /// Slots from the disk; none where the disk is empty though this is not the first start.
     pub slots: Option<BTreeMap<Register, Slot>>,
     /// Duties that it granted last, from the disk.
@@ -34,7 +33,8 @@
 
 pub struct Control {
     me: Node,
-    voters: Vec<Node>,
+    muster: Muster,
+    needed: usize,
     pub voter: Voter,
     pub helm: Helm,
     pub duties: Duties,
@@ -44,16 +44,16 @@
     ahead: f64,
     beat_at: f64,
     began: f64,
-    founding: Option<Founding>,
 }
 
 impl Control {
     pub fn new(now: f64, start: Start) -> Control {
-        let Start { keeper, voters, founding, slots, posts, seed } = start;
+        let Start { keeper, muster, needed, slots, posts, seed } = start;
         let me = keeper.node;
         let mut control = Control {
             me,
-            voters: Vec::new(),
+            muster: Muster::default(),
+            needed,
             voter: Voter::new(now, me, slots),
             helm: Helm::new(me, seed),
             duties: Duties::new(now, me, !seed, &posts),
@@ -61,28 +61,39 @@
             ahead: 0.0,
             beat_at: f64::NEG_INFINITY,
             began: now,
-            founding: None,
         };
-        match founding {
-            Some((seeds, needed)) if needed > seeds.len() => {
-                control.founding = Some(Founding::new(now, me, &seeds, needed, seed.rotate_left(17)));
-            }
-            Some((seeds, _)) => control.set_voters(&seeds),
-            None => control.set_voters(&voters),
-        }
+        control.stand(now, &muster);
         control
     }
 
-    fn set_voters(&mut self, voters: &[Node]) {
-        self.founding = None;
-        self.voters = voters.to_vec();
-        self.voter.set_voters(voters);
-        self.helm.set_voters(voters);
-        self.duties.set_voters(voters);
+    /// Another epoch begins here, unless this one or a later one has. It is on the disk before any word of it.
+    fn stand(&mut self, now: f64, muster: &Muster) -> Vec<Act> {
+        if muster.epoch <= self.muster.epoch {
+            return Vec::new();
+        }
+        self.muster = muster.clone();
+        self.voter.set_muster(muster);
+        self.duties.set_muster(muster);
+        let mut acts = self.keep_muster();
+        acts.extend(self.helm.set_muster(now, muster));
+        acts
     }
 
-    pub fn voters(&self) -> &[Node] {
-        &self.voters
+    /// A disk that names who votes vouches for its slots: one that has forgotten them must not.
+    fn keep_muster(&self) -> Vec<Act> {
+        let muster = Some(self.muster.clone()).filter(|muster| muster.known() && self.voter.whole());
+        let keep = |muster| Act::Store(Record { muster: Some(muster), ..Record::default() }, Vec::new());
+        muster.map(keep).into_iter().collect()
+    }
+
+    pub fn muster(&self) -> &Muster {
+        &self.muster
+    }
+
+    /// An order about who votes; ends as `Act::Done` under `token`.
+    pub fn reseat(&mut self, _now: f64, order: Reseat, token: u64) -> Vec<Act> {
+        let _ = (order, self.needed);
+        vec![Act::Done(token, Outcome::Refused(Refusal::Unknown))]
     }
 
     pub fn clock(&self, now: f64) -> f64 {
@@ -116,7 +127,7 @@
     }
 
     pub fn greeting(&self) -> Word {
-        Word::Greet { keeper: self.journal.roster.keeper.clone(), voters: self.voters.clone() }
+        Word::Greet { keeper: self.journal.roster.keeper.clone(), muster: self.muster.clone() }
     }
 
     fn knows_pilots(&self, now: f64) -> bool {
@@ -144,7 +155,7 @@
             confirmed: self.helm.confirmed(Register::Chart).map(|at| now - at),
             vector: self.vector(now),
             posts: self.duties.posts(now),
-            voters: self.voters.clone(),
+            muster: self.muster.clone(),
         })
     }
 
@@ -225,9 +236,6 @@
 
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = self.voter.tick(now);
-        if let Some(founding) = &mut self.founding {
-            acts.extend(founding.tick(now, &self.journal.roster.keepers()));
-        }
         acts.extend(self.helm.tick(now));
         acts.extend(self.duties.tick(now));
         if self.journal.append(now, Event::Passed) || now >= self.beat_at + BEAT_EVERY {
@@ -236,71 +244,72 @@
         acts
     }
 
-    fn told_voters(&mut self, voters: &[Node]) {
-        if self.voters.is_empty() && !voters.is_empty() {
-            self.set_voters(voters);
+    /// What is said to voters and by them. An old epoch's word is answered by who votes now; a later epoch's sender is told of
+    /// this one, and answers so in turn.
+    fn poll(&mut self, now: f64, from: Node, epoch: u64, poll: Poll) -> Vec<Act> {
+        if epoch != self.muster.epoch {
+            return vec![Act::Send(from, Word::Muster(self.muster.clone()))];
         }
-    }
-
-    fn found(&mut self, now: f64, from: Node, word: &Word) -> Vec<Act> {
-        let Some(founding) = &mut self.founding else { return Vec::new() };
-        let acts = founding.hear(now, from, word);
-        if let Some(voters) = founding.decided() {
-            self.set_voters(&voters);
+        match poll {
+            // Who has forgotten its grants grants nothing.
+            Poll::Bid(..) if !self.voter.whole() => Vec::new(),
+            Poll::Bid(..) | Poll::Grant(..) | Poll::Deny(_) | Poll::Yield(..) => {
+                self.duties.hear(now, from, &poll)
+            }
+            Poll::Recall(serial) if self.voter.whole() && self.muster.votes(self.me) => {
+                let told = Poll::Recalled(serial, self.voter.slots(), self.duties.granted_posts());
+                vec![Act::Store(Record::default(), vec![(from, self.muster.say(told))])]
+            }
+            Poll::Recall(_) => Vec::new(),
+            Poll::Recalled(_, _, ref posts) => {
+                posts.iter().for_each(|&post| self.duties.recall(now, post));
+                let mut acts = self.voter.hear(from, &poll);
+                if !acts.is_empty() {
+                    let posts = self.duties.granted_posts();
+                    acts.push(Act::Store(Record { posts, ..Record::default() }, Vec::new()));
+                    acts.extend(self.keep_muster());
+                }
+                acts
+            }
+            Poll::Promise(..)
+            | Poll::Accepted(..)
+            | Poll::Refuse(..)
+            | Poll::Answer(..)
+            | Poll::Fetched(..) => self.helm.hear(now, from, &poll),
+            Poll::Prepare(..) | Poll::Accept(..) | Poll::Ask(_) | Poll::Fetch(_) => {
+                self.voter.hear(from, &poll)
+            }
         }
-        acts
     }
 
     /// A word of another control gateway, or of this one to itself.
     pub fn hear(&mut self, now: f64, from: Node, word: Word) -> Vec<Act> {
         match word {
-            ref word if founding::concerns(word) => self.found(now, from, word),
-            Word::Greet { keeper, voters } => {
-                self.told_voters(&voters);
-                self.happened(now, Event::Met(keeper))
+            Word::Greet { keeper, muster } => {
+                let mut acts = self.stand(now, &muster);
+                acts.extend(self.happened(now, Event::Met(keeper)));
+                acts
             }
             Word::Beat(beat) => {
                 self.heard_clock(now, beat.clock);
-                self.told_voters(&beat.voters);
+                let mut acts = self.stand(now, &beat.muster);
                 self.journal.append(now, Event::Heard(from));
                 beat.posts.iter().for_each(|&post| self.duties.told(now, from, post));
-                match self.lacks(now, from, &beat.vector) {
-                    true => vec![Act::Send(from, Word::Pull(self.vector(now)))],
-                    false => Vec::new(),
+                if self.lacks(now, from, &beat.vector) {
+                    acts.push(Act::Send(from, Word::Pull(self.vector(now))));
                 }
+                acts
+            }
+            Word::Muster(muster) if muster.epoch < self.muster.epoch => {
+                vec![Act::Send(from, Word::Muster(self.muster.clone()))]
             }
+            Word::Muster(muster) => self.stand(now, &muster),
+            Word::Poll(epoch, poll) => self.poll(now, from, epoch, poll),
             Word::Pull(theirs) => match self.lacking(now, &theirs, true) {
                 pieces if pieces.is_empty() => Vec::new(),
                 pieces => vec![Act::Send(from, Word::News(pieces))],
             },
             Word::News(pieces) => self.take(now, pieces),
-            // Who has forgotten its grants grants nothing.
-            Word::Bid(..) if !self.voter.whole() => Vec::new(),
-            Word::Bid(..) | Word::Grant(..) | Word::Deny(_) | Word::Yield(..) => {
-                self.duties.hear(now, from, &word)
-            }
-            Word::Recall(serial) if self.voter.whole() && self.voters.contains(&self.me) => {
-                let word = Word::Recalled(serial, self.voter.slots(), self.duties.granted_posts());
-                vec![Act::Store(Record::default(), vec![(from, word)])]
-            }
-            Word::Recall(_) => Vec::new(),
-            Word::Recalled(_, _, ref posts) => {
-                posts.iter().for_each(|&post| self.duties.recall(now, post));
-                let mut acts = self.voter.hear(from, &word);
-                if !acts.is_empty() {
-                    let posts = self.duties.granted_posts();
-                    acts.push(Act::Store(Record { slots: Vec::new(), posts }, Vec::new()));
-                }
-                acts
-            }
-            Word::Promise(..)
-            | Word::Accepted(..)
-            | Word::Refuse(..)
-            | Word::Answer(..)
-            | Word::Fetched(..) => self.helm.hear(now, from, &word),
-            Word::Prepare(..) | Word::Accept(..) | Word::Ask(_) | Word::Fetch(_) => {
-                self.voter.hear(from, &word)
-            }
             Word::Hail { .. } | Word::Adds { .. } | Word::Totals { .. } => Vec::new(),
         }
     }
@@ -308,7 +317,7 @@
     /// Leaves the duties to the nearest other control gateway that was heard of.
     pub fn leave(&mut self, now: f64) -> Vec<Act> {
         let mut others = self.journal.roster.keepers();
-        others.retain(|k| k.node != self.me && self.voters.contains(&k.node));
+        others.retain(|k| k.node != self.me && self.muster.votes(k.node));
         others.sort_by_key(|k| (k.region != self.journal.roster.keeper.region, k.node));
         self.duties.leave(now, others.first().map(|k| k.node))
     }
--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -4,8 +4,8 @@
 //! takes the last grant for fresh, and so knows who alone may still rely on it. Terms only ever grow. Must never let two
 //! gateways hold one duty at a moment.
 
-use crate::{Act, Record, majority};
-use signal::{DUTIES, Duty, Node, Post, Word};
+use crate::{Act, Record};
+use signal::{DUTIES, Duty, Muster, Node, Poll, Post};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a grant lasts. Four renewals fit in, so that lost messages cost no duty; a dead holder's duty stands still
@@ -51,7 +51,7 @@
 
 pub struct Duties {
     me: Node,
-    voters: Vec<Node>,
+    muster: Muster,
     chance: oorandom::Rand64,
     given: BTreeMap<Duty, Given>,
     bidding: BTreeMap<Duty, Bidding>,
@@ -70,7 +70,7 @@
     pub fn new(now: f64, me: Node, seed: u64, posts: &[Post]) -> Duties {
         let mut duties = Duties {
             me,
-            voters: Vec::new(),
+            muster: Muster::default(),
             chance: oorandom::Rand64::new(u128::from(seed)),
             given: BTreeMap::new(),
             bidding: BTreeMap::new(),
@@ -102,8 +102,10 @@
         self.given.iter().map(|(&duty, g)| Post { duty, holder: g.holder, term: g.term }).collect()
     }
 
-    pub fn set_voters(&mut self, voters: &[Node]) {
-        self.voters = voters.to_vec();
+    /// Another epoch: bids of the one before count for nothing. What is held stands until its grants end.
+    pub fn set_muster(&mut self, muster: &Muster) {
+        self.muster = muster.clone();
+        self.bidding.clear();
     }
 
     /// The term in which this gateway holds a duty now.
@@ -128,7 +130,7 @@
     /// This gateway's turn to bid after a holder that is gone; a fraction of a turn lets all grants of its end first.
     fn turn(&self, gone: &Post) -> f64 {
         const ENDS: f64 = 0.4;
-        let rest: Vec<Node> = self.voters.iter().copied().filter(|&node| node != gone.holder).collect();
+        let rest: Vec<Node> = self.muster.voters().into_iter().filter(|&node| node != gone.holder).collect();
         let first = gone.term as usize % rest.len().max(1);
         let place = rest.iter().position(|&node| node == self.me);
         ENDS + place.map_or(rest.len(), |place| (place + rest.len() - first) % rest.len()) as f64
@@ -147,18 +149,20 @@
         let serial = self.serial;
         self.bidding.insert(duty, Bidding { term, serial, at: now, yes: BTreeSet::new() });
         let post = Post { duty, holder: self.me, term };
-        self.voters.iter().map(|&node| Act::Send(node, Word::Bid(post, serial))).collect()
+        let word = self.muster.say(Poll::Bid(post, serial));
+        self.muster.voters().into_iter().map(|node| Act::Send(node, word.clone())).collect()
     }
 
     fn give_back(&mut self, duty: Duty) -> Vec<Act> {
         let Some(Bidding { term, yes, .. }) = self.bidding.remove(&duty) else { return Vec::new() };
         let post = Post { duty, holder: self.me, term };
-        yes.into_iter().map(|node| Act::Send(node, Word::Yield(post, NOBODY))).collect()
+        let word = self.muster.say(Poll::Yield(post, NOBODY));
+        yes.into_iter().map(|node| Act::Send(node, word.clone())).collect()
     }
 
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = Vec::new();
-        if self.leaving || self.voters.is_empty() {
+        if self.leaving || !self.muster.known() {
             return acts;
         }
         for duty in DUTIES {
@@ -188,19 +192,17 @@
         acts
     }
 
-    pub fn hear(&mut self, now: f64, from: Node, word: &Word) -> Vec<Act> {
-        match word {
-            Word::Bid(post, serial) if self.voters.contains(&self.me) => {
-                self.asked(now, from, *post, *serial)
-            }
-            Word::Grant(post, serial) => self.granted(now, from, *post, *serial),
+    pub fn hear(&mut self, now: f64, from: Node, poll: &Poll) -> Vec<Act> {
+        match poll {
+            Poll::Bid(post, serial) if self.muster.votes(self.me) => self.asked(now, from, *post, *serial),
+            Poll::Grant(post, serial) => self.granted(now, from, *post, *serial),
             // What one voter granted is no word of a holder: it may have lost. Only its term counts, to bid above it.
-            Word::Deny(post) => {
+            Poll::Deny(post) => {
                 let seen = self.seen.entry(post.duty).or_default();
                 *seen = post.term.max(*seen);
                 Vec::new()
             }
-            Word::Yield(post, successor) => self.yielded(now, from, *post, *successor),
+            Poll::Yield(post, successor) => self.yielded(now, from, *post, *successor),
             _ => Vec::new(),
         }
     }
@@ -217,25 +219,25 @@
         let free = before.is_none_or(|g| term > g.term && (g.holder == from || now >= g.until));
         if renewed || free {
             self.given.insert(duty, Given { holder, term, until: now + SPAN });
-            let grant = Word::Grant(post, serial);
+            let grant = self.muster.say(Poll::Grant(post, serial));
             if renewed {
                 return vec![Act::Send(from, grant)];
             }
-            return vec![Act::Store(Record { slots: Vec::new(), posts: vec![post] }, vec![(from, grant)])];
+            return vec![Act::Store(Record { posts: vec![post], ..Record::default() }, vec![(from, grant)])];
         }
         let Some(Given { holder, term, .. }) = before else { return Vec::new() };
-        vec![Act::Send(from, Word::Deny(Post { duty, holder, term }))]
+        vec![Act::Send(from, self.muster.say(Poll::Deny(Post { duty, holder, term })))]
     }
 
     fn granted(&mut self, now: f64, from: Node, post: Post, serial: u64) -> Vec<Act> {
         let Some(bidding) = self.bidding.get_mut(&post.duty).filter(|b| b.serial == serial) else {
             return Vec::new();
         };
-        if !self.voters.contains(&from) || self.leaving {
+        if !self.muster.votes(from) || self.leaving {
             return Vec::new();
         }
         bidding.yes.insert(from);
-        if bidding.yes.len() < majority(self.voters.len()) {
+        if !self.muster.enough(|node| bidding.yes.contains(&node)) {
             return Vec::new();
         }
         // From before the question was sent: no voter's grant ends sooner.
@@ -256,9 +258,9 @@
             let (Some(successor), post) = (successor, Post { duty, holder: self.me, term: term.term }) else {
                 continue;
             };
-            let voters = self.voters.iter().filter(|&&node| node != successor);
-            let to = voters.chain([&successor]);
-            acts.extend(to.map(|&node| Act::Send(node, Word::Yield(post, successor))));
+            let word = self.muster.say(Poll::Yield(post, successor));
+            let voters = self.muster.voters().into_iter().filter(|&node| node != successor);
+            acts.extend(voters.chain([successor]).map(|node| Act::Send(node, word.clone())));
         }
         acts
     }
--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -4,9 +4,9 @@
 //! It also learns what is chosen, and knows since when a majority has confirmed that. Must never take for chosen what a
 //! majority does not hold on disk under one ballot.
 
-use crate::{Act, majority};
+use crate::{Act, Outcome};
 use bytes::Bytes;
-use signal::{Ballot, Held, Node, REGISTERS, Register, Word, evacuated, evacuations};
+use signal::{Ballot, Held, Muster, Node, Poll, REGISTERS, Register, evacuated, evacuations};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long a change is tried: callers move on after a second of silence.
@@ -35,8 +35,8 @@
     },
     /// What a majority can't agree on is brought to one value.
     Settle(Register),
-    /// The set of voters, if none is decided yet.
-    Found(Vec<Node>),
+    /// The next epoch of the set of voters, if the epoch before it stands.
+    Muster(Muster),
 }
 
 impl Change {
@@ -45,7 +45,7 @@
             Change::Chart { .. } => Register::Chart,
             Change::Evacuate { .. } => Register::Evacuations,
             Change::Settle(register) => *register,
-            Change::Found(_) => Register::Founders,
+            Change::Muster(_) => Register::Muster,
         }
     }
 
@@ -68,8 +68,9 @@
                 };
                 Some((held.map_or(0, |held| held.stamp) + 1, evacuations(zones)))
             }
-            Change::Found(set) if held.is_none() => {
-                Some((1, set.iter().map(Node::to_string).collect::<Vec<_>>().join("\n").into()))
+            // The first set is on no register: it stands until another is chosen.
+            Change::Muster(next) if held.map_or(1, |held| held.stamp) + 1 == next.epoch => {
+                Some((next.epoch, next.to_bytes()))
             }
             _ => before,
         }
@@ -111,7 +112,7 @@
 #[derive(Clone, Debug)]
 pub struct Helm {
     me: Node,
-    voters: Vec<Node>,
+    muster: Muster,
     chance: oorandom::Rand64,
     round: u64,
     work: BTreeMap<Register, Work>,
@@ -125,7 +126,7 @@
     pub fn new(me: Node, seed: u64) -> Helm {
         Helm {
             me,
-            voters: Vec::new(),
+            muster: Muster::default(),
             chance: oorandom::Rand64::new(u128::from(seed)),
             round: 0,
             work: BTreeMap::new(),
@@ -136,8 +137,14 @@
         }
     }
 
-    pub fn set_voters(&mut self, voters: &[Node]) {
-        self.voters = voters.to_vec();
+    /// Another epoch: what was answered in the one before counts for nothing, and is asked for anew.
+    pub fn set_muster(&mut self, now: f64, muster: &Muster) -> Vec<Act> {
+        self.muster = muster.clone();
+        self.round = self.round.max(muster.least_round());
+        self.question.answers.clear();
+        self.question.split.clear();
+        let busy: Vec<Register> = self.work.keys().copied().collect();
+        busy.into_iter().flat_map(|register| self.prepare(now, register)).collect()
     }
 
     pub fn chosen(&self, register: Register) -> Option<&Held> {
@@ -149,12 +156,9 @@
         self.confirmed.get(&register).copied()
     }
 
-    fn enough(&self, count: usize) -> bool {
-        !self.voters.is_empty() && count >= majority(self.voters.len())
-    }
-
-    fn to_all(&self, word: &Word) -> Vec<Act> {
-        self.voters.iter().map(|&node| Act::Send(node, word.clone())).collect()
+    fn to_all(&self, poll: Poll) -> Vec<Act> {
+        let word = self.muster.say(poll);
+        self.muster.voters().into_iter().map(|node| Act::Send(node, word.clone())).collect()
     }
 
     /// A change, to be told of under `token`; it ends as `Act::Done` within `LIFE`.
@@ -173,21 +177,21 @@
 
     /// Asks the voters at once which ballots they hold.
     pub fn ask_now(&mut self, now: f64) -> Vec<Act> {
-        if self.voters.is_empty() { Vec::new() } else { self.ask(now) }
+        if self.muster.known() { self.ask(now) } else { Vec::new() }
     }
 
     fn wish(&mut self, now: f64, wish: Wish) -> Vec<Act> {
         let register = wish.change.register();
         let waiting = self.waiting.entry(register).or_default();
         if waiting.len() >= MOST_WAITING {
-            return wish.token.map(|token| Act::Done(token, false)).into_iter().collect();
+            return wish.token.map(|token| Act::Done(token, Outcome::Unclear)).into_iter().collect();
         }
         waiting.push_back(wish);
         self.next(now, register)
     }
 
     fn next(&mut self, now: f64, register: Register) -> Vec<Act> {
-        if self.work.contains_key(&register) || self.voters.is_empty() {
+        if self.work.contains_key(&register) || !self.muster.known() {
             return Vec::new();
         }
         let Some(wish) = self.waiting.get_mut(&register).and_then(VecDeque::pop_front) else {
@@ -205,13 +209,13 @@
         work.ballot = Ballot { round: self.round, node: self.me, nonce };
         work.began = now;
         work.phase = Phase::Preparing(BTreeMap::new());
-        let word = Word::Prepare(register, work.ballot);
-        self.to_all(&word)
+        let prepare = Poll::Prepare(register, work.ballot);
+        self.to_all(prepare)
     }
 
-    fn end(&mut self, now: f64, register: Register, well: bool) -> Vec<Act> {
+    fn end(&mut self, now: f64, register: Register, outcome: Outcome) -> Vec<Act> {
         let Some(work) = self.work.remove(&register) else { return Vec::new() };
-        let mut acts: Vec<Act> = work.wish.token.map(|token| Act::Done(token, well)).into_iter().collect();
+        let mut acts: Vec<Act> = work.wish.token.map(|token| Act::Done(token, outcome)).into_iter().collect();
         acts.extend(self.next(now, register));
         acts
     }
@@ -227,14 +231,14 @@
         if newer { vec![Act::Learned(register)] } else { Vec::new() }
     }
 
-    pub fn hear(&mut self, now: f64, from: Node, word: &Word) -> Vec<Act> {
-        if !self.voters.contains(&from) {
+    pub fn hear(&mut self, now: f64, from: Node, poll: &Poll) -> Vec<Act> {
+        if !self.muster.votes(from) {
             return Vec::new();
         }
-        match word {
-            Word::Promise(register, ballot, held) => self.promised(now, from, *register, *ballot, held),
-            Word::Accepted(register, ballot) => self.accepted(now, from, *register, *ballot),
-            Word::Refuse(register, ballot, promised) => {
+        match poll {
+            Poll::Promise(register, ballot, held) => self.promised(now, from, *register, *ballot, held),
+            Poll::Accepted(register, ballot) => self.accepted(now, from, *register, *ballot),
+            Poll::Refuse(register, ballot, promised) => {
                 self.round = self.round.max(promised.round);
                 if let Some(work) = self.work.get_mut(register).filter(|work| work.ballot == *ballot) {
                     // Somebody else is at it: a wait by chance lets one of the two come through.
@@ -245,9 +249,9 @@
                 }
                 Vec::new()
             }
-            Word::Answer(serial, ballots) => self.answered(from, *serial, ballots),
+            Poll::Answer(serial, ballots) => self.answered(from, *serial, ballots),
             // From one voter alone it is no proof: it counts once a majority names its ballot.
-            Word::Fetched(register, held) if self.named(*register, held.ballot) => {
+            Poll::Fetched(register, held) if self.named(*register, held.ballot) => {
                 self.learn(*register, held)
             }
             _ => Vec::new(),
@@ -262,45 +266,46 @@
         ballot: Ballot,
         held: &Option<Held>,
     ) -> Vec<Act> {
-        let enough = majority(self.voters.len());
+        let muster = &self.muster;
         let Some(work) = self.work.get_mut(&register).filter(|work| work.ballot == ballot) else {
             return Vec::new();
         };
         let Phase::Preparing(promises) = &mut work.phase else { return Vec::new() };
         promises.insert(from, held.clone());
         // A machine that stood still may be here long after its time: what it was promised may be forgotten by now.
-        if promises.len() < enough || now > work.wish.until {
+        if !muster.enough(|node| promises.contains_key(&node)) || now > work.wish.until {
             return Vec::new();
         }
         let newest = promises.values().flatten().max_by_key(|held| held.ballot);
         let Some((stamp, value)) = work.wish.change.apply(newest) else {
-            return self.end(now, register, true);
+            return self.end(now, register, Outcome::Chosen);
         };
-        let held = Held { ballot, stamp, value };
+        let marks = newest.map(|held| held.marks.clone()).unwrap_or_default();
+        let held = Held { ballot, stamp, value, marks };
         work.phase = Phase::Accepting(held.clone(), BTreeSet::new());
-        self.to_all(&Word::Accept(register, held))
+        self.to_all(Poll::Accept(register, held))
     }
 
     fn accepted(&mut self, now: f64, from: Node, register: Register, ballot: Ballot) -> Vec<Act> {
-        let enough = majority(self.voters.len());
+        let muster = &self.muster;
         let Some(work) = self.work.get_mut(&register).filter(|work| work.ballot == ballot) else {
             return Vec::new();
         };
         let Phase::Accepting(held, yes) = &mut work.phase else { return Vec::new() };
         yes.insert(from);
-        if yes.len() < enough {
+        if !muster.enough(|node| yes.contains(&node)) {
             return Vec::new();
         }
         let held = held.clone();
         let mut acts = self.learn(register, &held);
-        acts.extend(self.end(now, register, true));
+        acts.extend(self.end(now, register, Outcome::Chosen));
         acts
     }
 
     /// Does a majority of the last answers name this ballot?
     fn named(&self, register: Register, ballot: Ballot) -> bool {
-        let same = |answer: &&BTreeMap<Register, Ballot>| answer.get(&register) == Some(&ballot);
-        self.enough(self.question.answers.values().filter(same).count())
+        let same = |node| self.question.answers.get(&node).is_some_and(|a| a.get(&register) == Some(&ballot));
+        self.muster.enough(same)
     }
 
     fn answered(&mut self, from: Node, serial: u64, ballots: &[(Register, Ballot)]) -> Vec<Act> {
@@ -319,7 +324,7 @@
             if theirs == mine {
                 self.confirmed.insert(register, self.question.at);
             } else if theirs > mine {
-                acts.push(Act::Send(from, Word::Fetch(register)));
+                acts.push(Act::Send(from, self.muster.say(Poll::Fetch(register))));
             }
         }
         acts
@@ -330,7 +335,7 @@
         let mut acts = self.tick_work(now);
         let known = self.confirmed(Register::Chart).is_some();
         let every = if known { ASK_EVERY } else { ASK_AT_FIRST };
-        if now >= self.question.at + every && !self.voters.is_empty() {
+        if now >= self.question.at + every && self.muster.known() {
             acts.extend(self.ask(now));
         }
         acts
@@ -346,7 +351,7 @@
                 continue;
             };
             if now > work.wish.until {
-                acts.extend(self.end(now, register, false));
+                acts.extend(self.end(now, register, Outcome::Unclear));
             } else if match work.phase {
                 Phase::Waiting { from } => now >= from,
                 _ => now > work.began + ATTEMPT,
@@ -361,7 +366,7 @@
         // So many questions in a row without one answer of a majority: nobody is about to finish it.
         const SPLIT: u32 = 2;
         let mut acts = Vec::new();
-        if self.enough(self.question.answers.len()) {
+        if self.muster.enough(|node| self.question.answers.contains_key(&node)) {
             for register in REGISTERS {
                 let ballots: Vec<Ballot> =
                     self.question.answers.values().filter_map(|a| a.get(&register).copied()).collect();
@@ -380,7 +385,7 @@
         self.question.serial += 1;
         self.question.at = now;
         self.question.answers.clear();
-        acts.extend(self.to_all(&Word::Ask(self.question.serial)));
+        acts.extend(self.to_all(Poll::Ask(self.question.serial)));
         acts
     }
 }
--- a/harbour/src/lib.rs
+++ b/harbour/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod control;
 pub mod duties;
-pub mod founding;
 pub mod helm;
 pub mod journal;
 pub mod news;
@@ -13,7 +12,7 @@
 mod texts;
 pub mod voter;
 
-use signal::{Node, Post, Register, Slot, Word};
+use signal::{Mark, Muster, Node, Post, Register, Slot, Word};
 
 /// What a core wants done.
 #[derive(Clone, Debug)]
@@ -23,8 +22,49 @@
     Store(Record, Vec<(Node, Word)>),
     /// A register's chosen value is newer than before.
     Learned(Register),
-    /// The operator's change with this token is chosen, or may or may not be.
-    Done(u64, bool),
+    /// What became of the operator's order with this token.
+    Done(u64, Outcome),
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It holds: a majority of disks has it, or what makes it alter nothing.
+    Chosen,
+    /// It may or may not come to be: the same order sent again tells.
+    Unclear,
+    /// Another text stands under its number, and this is the one; nothing was altered.
+    Stands(Mark),
+    /// It was not begun, and never will be.
+    Refused(Refusal),
+}
+
+/// Why an order about who votes is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Who votes isn't known here yet.
+    Unknown,
+    /// Another change is under way.
+    UnderWay,
+    /// The one that is to go has no seat.
+    NoSeat,
+    /// The one that is to come has a seat already.
+    Seated,
+    /// The one that is to come isn't heard of.
+    Absent,
+    /// Too many voters are not there, or not whole.
+    NotWhole,
+    /// The epoch that the order names is not the one that stands.
+    Epoch,
+}
+
+/// An operator's order about who votes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reseat {
+    /// `new` takes the seat of `old`, by agreement.
+    Replace { old: Node, new: Node },
+    /// This gateway founds anew with those seats, as a majority of the set of `epoch` is gone for good.
+    Refound { epoch: u64, seats: Vec<Node> },
 }
 
 /// What a voter has changed of what it keeps.
@@ -33,9 +73,6 @@
     pub slots: Vec<(Register, Slot)>,
     /// Duties granted in a new term.
     pub posts: Vec<Post>,
-}
-
-/// So many of `voters` are more than half.
-pub fn majority(voters: usize) -> usize {
-    voters / 2 + 1
+    /// Who votes, where that changed.
+    pub muster: Option<Muster>,
 }
--- a/harbour/src/voter.rs
+++ b/harbour/src/voter.rs
@@ -2,8 +2,8 @@
 //! hears of it. A voter whose disk is gone has forgotten its promises: it is silent until it has read what a majority of
 //! the set holds beside itself. Must never answer from what is not on disk.
 
-use crate::{Act, Record, majority};
-use signal::{Ballot, Node, REGISTERS, Register, Slot, Word};
+use crate::{Act, Record};
+use signal::{Ballot, Muster, Node, Poll, REGISTERS, Register, Slot};
 use std::collections::BTreeMap;
 
 /// Longer than any attempt to write lives (`helm::LIFE`), held-up answers of its first half included: a voter that
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct Voter {
     me: Node,
-    voters: Vec<Node>,
+    muster: Muster,
     slots: BTreeMap<Register, Slot>,
     memory: Memory,
 }
@@ -31,11 +31,11 @@
         let forgotten =
             Memory::Forgotten { since: now, asked: f64::NEG_INFINITY, serial: 0, told: BTreeMap::new() };
         let memory = if slots.is_some() { Memory::Whole } else { forgotten };
-        Voter { me, voters: Vec::new(), slots: slots.unwrap_or_default(), memory }
+        Voter { me, muster: Muster::default(), slots: slots.unwrap_or_default(), memory }
     }
 
-    pub fn set_voters(&mut self, voters: &[Node]) {
-        self.voters = voters.to_vec();
+    pub fn set_muster(&mut self, muster: &Muster) {
+        self.muster = muster.clone();
     }
 
     /// May it be counted in a majority?
@@ -44,63 +44,66 @@
     }
 
     fn votes(&self) -> bool {
-        self.whole() && self.voters.contains(&self.me)
+        self.whole() && self.muster.votes(self.me)
     }
 
     /// Asks the others for what was forgotten; called now and then.
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let Memory::Forgotten { since, asked, serial, told } = &mut self.memory else { return Vec::new() };
-        if now < *since + FORGET || now < *asked + RECALL_EVERY || !self.voters.contains(&self.me) {
+        if now < *since + FORGET || now < *asked + RECALL_EVERY || !self.muster.votes(self.me) {
             return Vec::new();
         }
         *asked = now;
         *serial += 1;
         told.clear();
-        let others = self.voters.iter().filter(|&&node| node != self.me);
-        others.map(|&node| Act::Send(node, Word::Recall(*serial))).collect()
+        let word = self.muster.say(Poll::Recall(*serial));
+        let others = self.muster.voters().into_iter().filter(|&node| node != self.me);
+        others.map(|node| Act::Send(node, word.clone())).collect()
     }
 
-    fn store(&self, register: Register, to: Node, word: Word) -> Vec<Act> {
-        let record = Record { slots: vec![(register, self.slots[&register].clone())], posts: Vec::new() };
-        vec![Act::Store(record, vec![(to, word)])]
+    fn store(&self, register: Register, to: Node, poll: Poll) -> Vec<Act> {
+        let slots = vec![(register, self.slots[&register].clone())];
+        vec![Act::Store(Record { slots, ..Record::default() }, vec![(to, self.muster.say(poll))])]
     }
 
     /// What it holds, said only after all that was written before is on disk.
-    fn after_disk(to: Node, word: Word) -> Vec<Act> {
-        vec![Act::Store(Record::default(), vec![(to, word)])]
+    fn after_disk(&self, to: Node, poll: Poll) -> Vec<Act> {
+        vec![Act::Store(Record::default(), vec![(to, self.muster.say(poll))])]
     }
 
-    pub fn hear(&mut self, from: Node, word: &Word) -> Vec<Act> {
-        match word {
-            Word::Recalled(serial, slots, _) => self.recalled(from, *serial, slots),
+    pub fn hear(&mut self, from: Node, poll: &Poll) -> Vec<Act> {
+        match poll {
+            Poll::Recalled(serial, slots, _) => self.recalled(from, *serial, slots),
             _ if !self.votes() => Vec::new(),
-            Word::Prepare(register, ballot) => {
+            Poll::Prepare(register, ballot) => {
                 let slot = self.slots.entry(*register).or_default();
                 if *ballot <= slot.promised {
-                    return Self::after_disk(from, Word::Refuse(*register, *ballot, slot.promised));
+                    let refusal = Poll::Refuse(*register, *ballot, slot.promised);
+                    return self.after_disk(from, refusal);
                 }
                 slot.promised = *ballot;
-                let word = Word::Promise(*register, *ballot, slot.held.clone());
-                self.store(*register, from, word)
+                let promise = Poll::Promise(*register, *ballot, slot.held.clone());
+                self.store(*register, from, promise)
             }
-            Word::Accept(register, held) => {
+            Poll::Accept(register, held) => {
                 let slot = self.slots.entry(*register).or_default();
                 if held.ballot < slot.promised {
-                    return Self::after_disk(from, Word::Refuse(*register, held.ballot, slot.promised));
+                    let refusal = Poll::Refuse(*register, held.ballot, slot.promised);
+                    return self.after_disk(from, refusal);
                 }
                 slot.promised = held.ballot;
                 slot.held = Some(held.clone());
-                self.store(*register, from, Word::Accepted(*register, held.ballot))
+                self.store(*register, from, Poll::Accepted(*register, held.ballot))
             }
-            Word::Ask(serial) => {
+            Poll::Ask(serial) => {
                 let ballot = |r: &Register| {
                     self.slots.get(r).and_then(|s| s.held.as_ref()).map_or(Ballot::default(), |h| h.ballot)
                 };
                 let ballots = REGISTERS.iter().map(|r| (*r, ballot(r))).collect();
-                Self::after_disk(from, Word::Answer(*serial, ballots))
+                self.after_disk(from, Poll::Answer(*serial, ballots))
             }
-            Word::Fetch(register) => match self.slots.get(register).and_then(|s| s.held.clone()) {
-                Some(held) => Self::after_disk(from, Word::Fetched(*register, held)),
+            Poll::Fetch(register) => match self.slots.get(register).and_then(|s| s.held.clone()) {
+                Some(held) => self.after_disk(from, Poll::Fetched(*register, held)),
                 None => Vec::new(),
             },
             _ => Vec::new(),
@@ -110,11 +113,11 @@
     /// A majority of the set beside itself has told: whatever it had promised or accepted that counts, one of these has.
     fn recalled(&mut self, from: Node, answer: u64, slots: &[(Register, Slot)]) -> Vec<Act> {
         let Memory::Forgotten { serial, told, .. } = &mut self.memory else { return Vec::new() };
-        if answer != *serial || from == self.me || !self.voters.contains(&from) {
+        if answer != *serial || from == self.me || !self.muster.votes(from) {
             return Vec::new();
         }
         told.insert(from, slots.to_vec());
-        if told.len() < majority(self.voters.len()) {
+        if !self.muster.enough(|node| told.contains_key(&node)) {
             return Vec::new();
         }
         for (register, other) in std::mem::take(told).into_values().flatten() {
@@ -125,7 +128,7 @@
             }
         }
         self.memory = Memory::Whole;
-        vec![Act::Store(Record { slots: self.slots(), posts: Vec::new() }, Vec::new())]
+        vec![Act::Store(Record { slots: self.slots(), ..Record::default() }, Vec::new())]
     }
 
     /// All that it has promised and accepted.
--- a/harbour/tests/fleet.rs
+++ b/harbour/tests/fleet.rs
@@ -4,8 +4,8 @@
 
 use harbour::control::{Control, Start};
 use harbour::helm::Change;
-use harbour::{Act, Record};
-use signal::{DUTIES, Duty, Keeper, Node, Post, Register, Slot, Word};
+use harbour::{Act, Outcome, Record};
+use signal::{DUTIES, Duty, Keeper, Muster, Node, Post, Register, Slot, Word};
 use std::collections::{BTreeMap, BTreeSet};
 
 const STEP: f64 = 0.005;
@@ -14,8 +14,7 @@
 struct Disk {
     slots: BTreeMap<Register, Slot>,
     posts: BTreeMap<Duty, Post>,
-    /// Named once the gateway may be counted, as the program does it.
-    voters: Vec<Node>,
+    muster: Muster,
 }
 
 struct Fleet {
@@ -27,7 +26,7 @@
     frozen: BTreeMap<Node, f64>,
     cut: BTreeSet<(Node, Node)>,
     way: Vec<(f64, Node, Node, Word)>,
-    done: BTreeMap<u64, bool>,
+    done: BTreeMap<u64, Outcome>,
     /// What was acknowledged, as stamp and value, and what was ever chosen at anyone.
     acked: Vec<(u64, u64)>,
     chosen: BTreeMap<u64, bytes::Bytes>,
@@ -69,13 +68,17 @@
 
     /// Of four the last one has no vote.
     fn start(&mut self, node: Node, first: bool) {
-        let disk = self.disks.entry(node).or_default().clone();
-        let remembers = !disk.voters.is_empty();
+        let disk = self.disks.entry(node).or_default();
+        // The seeds are on the disk before anything else is done.
+        if first && !disk.muster.known() {
+            disk.muster = Muster::first(&[1, 2, 3]);
+        }
+        let disk = disk.clone();
         let start = Start {
             keeper: keeper(node),
-            voters: disk.voters,
-            founding: (first && !remembers).then(|| (vec![1, 2, 3], self.needed)),
-            slots: (remembers || first).then_some(disk.slots),
+            needed: self.needed,
+            slots: disk.muster.known().then_some(disk.slots),
+            muster: disk.muster,
             posts: disk.posts.into_values().collect(),
             seed: self.chance.rand_u64(),
         };
@@ -111,20 +114,18 @@
         let now = self.now;
         let Some(control) = self.live.get_mut(&node) else { return };
         let acts = step(control, now);
-        if control.voter.whole() && !control.voters().is_empty() {
-            self.disks.entry(node).or_default().voters = control.voters().to_vec();
-        }
         for act in acts {
             match act {
                 Act::Send(to, word) => self.send(node, to, word),
-                Act::Store(Record { slots, posts }, then) => {
+                Act::Store(Record { slots, posts, muster }, then) => {
                     let disk = self.disks.entry(node).or_default();
+                    disk.muster = muster.unwrap_or(std::mem::take(&mut disk.muster));
                     disk.slots.extend(slots);
                     disk.posts.extend(posts.into_iter().map(|post| (post.duty, post)));
                     then.into_iter().for_each(|(to, word)| self.send(node, to, word));
                 }
                 Act::Learned(register) => self.learned(node, register),
-                Act::Done(token, well) => drop(self.done.insert(token, well)),
+                Act::Done(token, outcome) => drop(self.done.insert(token, outcome)),
             }
         }
     }
@@ -185,7 +186,7 @@
     fleet.run(1.0);
     fleet.replace(4, 1, 7);
     fleet.run(1.0);
-    assert_eq!(fleet.done.get(&1), Some(&true));
+    assert_eq!(fleet.done.get(&1), Some(&Outcome::Chosen));
     (1..=4).for_each(|node| fleet.kill(node, false));
     (1..=4).for_each(|node| fleet.start(node, false));
     fleet.run(1.5);
@@ -205,10 +206,10 @@
         fleet.run(0.004 * (seed % 5) as f64);
         fleet.replace(3, 2, 5);
         fleet.run(1.5);
-        assert_eq!(fleet.done, BTreeMap::from([(1, true), (2, true)]), "seed {seed}");
+        assert_eq!(fleet.done, BTreeMap::from([(1, Outcome::Chosen), (2, Outcome::Chosen)]), "seed {seed}");
         fleet.replace(2, 3, 4);
         fleet.run(1.0);
-        assert_eq!(fleet.done.get(&3), Some(&true));
+        assert_eq!(fleet.done.get(&3), Some(&Outcome::Chosen));
         assert_eq!(fleet.chosen.len(), 1, "seed {seed}");
     }
 }
@@ -225,7 +226,7 @@
         }
         fleet.replace(1, 1, 9);
         fleet.run(0.9);
-        assert_eq!(fleet.done.get(&1), Some(&true), "seed {seed}");
+        assert_eq!(fleet.done.get(&1), Some(&Outcome::Chosen), "seed {seed}");
         fleet.kill(1, true);
         fleet.kill(2, false);
         fleet.cut.clear();
@@ -233,7 +234,11 @@
         // The third one, which never heard of it, and the emptied one are two of three.
         fleet.replace(3, 2, 8);
         fleet.run(4.0);
-        assert_ne!(fleet.done.get(&2), Some(&true), "seed {seed}: a majority with an emptied disk");
+        assert_ne!(
+            fleet.done.get(&2),
+            Some(&Outcome::Chosen),
+            "seed {seed}: a majority with an emptied disk"
+        );
         fleet.start(2, false);
         fleet.run(5.0);
         let held = fleet.live[&3].helm.chosen(Register::Chart).map(|held| held.stamp);
@@ -317,9 +322,9 @@
             fleet.run(f64::from(length) / 128.0);
             let down: Vec<Node> = (1..=4).filter(|node| !fleet.live.contains_key(node)).collect();
             down.into_iter().for_each(|node| fleet.start(node, false));
-            for (token, well) in std::mem::take(&mut fleet.done) {
+            for (token, outcome) in std::mem::take(&mut fleet.done) {
                 let newest = fleet.chosen.keys().max().copied().unwrap_or(0);
-                fleet.acked.extend(well.then_some((token, newest)));
+                fleet.acked.extend((outcome == Outcome::Chosen).then_some((token, newest)));
             }
         }
         (fleet.lossy, fleet.cut) = (0.0, BTreeSet::new());
@@ -345,12 +350,12 @@
         let mut fleet = Fleet::of(seed, 5, 6);
         fleet.lossy = 0.05;
         fleet.run(4.0);
-        let sets: BTreeSet<Vec<Node>> = fleet.live.values().map(|c| c.voters().to_vec()).collect();
+        let sets: BTreeSet<Vec<Node>> = fleet.live.values().map(|c| c.muster().seats.clone()).collect();
         assert!(sets.len() == 1 && sets.iter().all(|set| set.len() == 5), "seed {seed}: {sets:?}");
         fleet.lossy = 0.0;
         fleet.replace(6, 1, 7);
         fleet.run(1.0);
-        assert_eq!(fleet.done.get(&1), Some(&true), "seed {seed}");
+        assert_eq!(fleet.done.get(&1), Some(&Outcome::Chosen), "seed {seed}");
         (1..=2).for_each(|node| fleet.kill(node, true));
         fleet.run(0.5);
         (1..=2).for_each(|node| fleet.start(node, false));
--- a/harbour/tests/model.rs
+++ b/harbour/tests/model.rs
@@ -5,7 +5,7 @@
 use harbour::helm::{Change, Helm};
 use harbour::voter::Voter;
 use harbour::{Act, Record};
-use signal::{Ballot, Node, Register, Slot, Word};
+use signal::{Ballot, Muster, Node, Poll, Register, Slot, Word};
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
@@ -86,16 +86,18 @@
     fn deliver(&mut self, n: usize) {
         let (from, to, word) = self.way.remove(n);
         let now = self.now;
-        let acts = match &word {
-            Word::Promise(..) | Word::Accepted(..) | Word::Refuse(..) => match self.helms.get_mut(&to) {
-                Some(helm) => helm.hear(now, from, &word),
+        let Word::Poll(_, poll) = &word else { return };
+        let acts = match poll {
+            Poll::Promise(..) | Poll::Accepted(..) | Poll::Refuse(..) => match self.helms.get_mut(&to) {
+                Some(helm) => helm.hear(now, from, poll),
                 None => Vec::new(),
             },
-            Word::Recall(serial) if self.voters[&to].whole() => {
+            Poll::Recall(serial) if self.voters[&to].whole() => {
                 let slots = self.voters[&to].slots();
-                vec![Act::Store(Record::default(), vec![(from, Word::Recalled(*serial, slots, Vec::new()))])]
+                let told = Word::Poll(1, Poll::Recalled(*serial, slots, Vec::new()));
+                vec![Act::Store(Record::default(), vec![(from, told)])]
             }
-            _ => self.voters.get_mut(&to).map_or(Vec::new(), |voter| voter.hear(from, &word)),
+            _ => self.voters.get_mut(&to).map_or(Vec::new(), |voter| voter.hear(from, poll)),
         };
         self.act(to, acts);
     }
@@ -119,12 +121,12 @@
     fn init_states(&self) -> Vec<State> {
         let voter = |node: &Node| {
             let mut voter = Voter::new(0.0, *node, Some(BTreeMap::new()));
-            voter.set_voters(&VOTERS);
+            voter.set_muster(&Muster::first(&VOTERS));
             (*node, voter)
         };
         let helm = |node: &Node| {
             let mut helm = Helm::new(*node, u64::from(*node));
-            helm.set_voters(&VOTERS);
+            helm.set_muster(0.0, &Muster::first(&VOTERS));
             (*node, helm)
         };
         vec![State {
@@ -171,7 +173,7 @@
                 state.wiped = true;
                 state.disks.remove(&1);
                 let mut voter = Voter::new(state.now, 1, self.forgetful.then(BTreeMap::new));
-                voter.set_voters(&VOTERS);
+                voter.set_muster(&Muster::first(&VOTERS));
                 state.voters.insert(1, voter);
             }
             Action::Later => {
--- a/harbourmaster/src/lib.rs
+++ b/harbourmaster/src/lib.rs
@@ -11,11 +11,10 @@
 use chart::Settings;
 use error_stack::{Report, ResultExt};
 use harbour::control::{Control, Start};
-use harbour::founding::needed;
-use logbook::{Logbook, LogbookError};
+use logbook::{Entered, Logbook, LogbookError};
 use mooring::Clock;
 use port::Port;
-use signal::Keeper;
+use signal::{Keeper, Muster};
 use std::fmt;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
@@ -104,8 +103,19 @@
         Some(folder) => open_patiently(folder).map(|(book, state)| (Some(book), state))?,
         None => (None, logbook::State::default()),
     };
-    let remembers = !state.voters.is_empty();
-    if !remembers && !settings.first_start {
+    let mut muster = state.muster;
+    let remembers = muster.known();
+    if !remembers && settings.first_start {
+        // The seeds are the same three everywhere at the very first start, and only then. They are on the disk before a word
+        // is said: a first start that dies halfway goes on where it was.
+        muster = Muster::first(&seeds);
+        if let Some(logbook) = &logbook {
+            let (told, kept) = std::sync::mpsc::channel();
+            let entered = Entered { muster: Some(muster.clone()), ..Entered::default() };
+            logbook.enter(entered, move || told.send(()).unwrap_or_default());
+            kept.recv().change_context(MasterError::Disk)?;
+        }
+    } else if !remembers {
         log::warn!("the disk is empty: silent as a voter until a majority has told what it holds");
     }
     let start = Start {
@@ -115,10 +125,10 @@
             region: settings.region.clone(),
             control: SocketAddrV4::new(settings.ip, control.port()),
         },
-        voters: state.voters,
-        // The seeds are the same three everywhere at the very first start, and only then.
-        founding: (settings.first_start && !remembers).then(|| (seeds, needed(settings.losses))),
-        slots: (remembers || settings.first_start).then_some(state.slots),
+        slots: muster.known().then_some(state.slots),
+        muster,
+        // A majority is left of so many when as many as `Tolerance` names are lost at once.
+        needed: 2 * settings.losses as usize + 1,
         posts: state.posts.into_values().collect(),
         seed: mooring::chance(),
     };
--- a/harbourmaster/src/office.rs
+++ b/harbourmaster/src/office.rs
@@ -7,6 +7,7 @@
 use chart::Chart;
 use fairway::plain::{Answer, Asked, Request, ServerSide};
 use futures_util::{SinkExt, StreamExt};
+use harbour::Outcome;
 use harbour::helm::Change;
 use serde_json::{Value, json};
 use signal::{Register, evacuated, pack};
@@ -158,7 +159,7 @@
         Ok(packed) => packed.into(),
         Err(e) => return refused(413, e),
     };
-    match port.change(Change::Chart { version, text }).await {
+    match port.change(Change::Chart { version, text }).await == Outcome::Chosen {
         true => Answer::json(200, json!({"ConfigVersion": format!("{version:08x}")}).to_string()),
         false => later("no majority has taken it yet"),
     }
@@ -168,7 +169,7 @@
     if !port.settings.zones.contains_key(zone) {
         return refused(404, format_args!("{zone:?} is no zone of this deployment"));
     }
-    match port.change(Change::Evacuate { zone: zone.to_string(), on }).await {
+    match port.change(Change::Evacuate { zone: zone.to_string(), on }).await == Outcome::Chosen {
         true => Answer::json(200, json!({"Zone": zone, "Evacuated": on}).to_string()),
         false => later("no majority has taken it yet"),
     }
@@ -193,9 +194,9 @@
 
 fn members(port: &Port) -> Value {
     port.look(|control, now| {
-        let voters = control.voters();
+        let muster = control.muster();
         let keepers: Vec<Value> = (control.journal.roster.keepers().iter())
-            .map(|k| json!({"Control": k.control, "Zone": k.zone, "Votes": voters.contains(&k.node)}))
+            .map(|k| json!({"Control": k.control, "Zone": k.zone, "Votes": muster.votes(k.node)}))
             .collect();
         let pilots: Vec<Value> = (control.journal.roster.pilots(now).iter())
             .map(|p| json!({"Front": p.front, "Zone": p.zone, "Ready": p.ready}))
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -7,7 +7,7 @@
 use harbour::control::Control;
 use harbour::helm::Change;
 use harbour::news::News;
-use harbour::{Act, Record};
+use harbour::{Act, Outcome, Record};
 use logbook::{Entered, Logbook};
 use mooring::{Clock, Out};
 use signal::{Add, Node, Piece, Register, Vector, Word, pack};
@@ -30,12 +30,11 @@
     kept: mpsc::UnboundedSender<Kept>,
     pub links: RefCell<HashMap<Node, Out>>,
     pub sessions: RefCell<HashMap<Node, Out>>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
     tokens: Cell<u64>,
     /// The configuration in force, read.
     chart: RefCell<Option<Rc<Chart>>>,
     texts: RefCell<News>,
-    voters_kept: Cell<bool>,
     pub leaving: Cell<bool>,
     /// Rung when something is learned or confirmed.
     pub news: Notify,
@@ -63,7 +62,6 @@
             tokens: Cell::new(0),
             chart: RefCell::default(),
             texts: RefCell::default(),
-            voters_kept: Cell::new(false),
             leaving: Cell::new(false),
             news: Notify::new(),
         })
@@ -93,36 +91,23 @@
                     acts.extend(self.control.borrow_mut().hear(now, self.me, word));
                 }
                 Act::Send(to, word) => self.send(to, word),
-                Act::Store(Record { slots, posts }, then) => {
-                    self.store(Entered { voters: None, slots, posts }, then);
+                Act::Store(Record { slots, posts, muster }, then) => {
+                    self.store(Entered { muster, slots, posts }, then);
                 }
                 Act::Learned(register) => {
                     self.learned(register);
                     acts.extend(self.control.borrow_mut().beat_all(now));
                 }
-                Act::Done(token, well) => {
+                Act::Done(token, outcome) => {
                     if let Some(waiting) = self.waiting.borrow_mut().remove(&token) {
-                        waiting.send(well).ok();
+                        waiting.send(outcome).ok();
                     }
                 }
             }
         }
-        self.keep_voters();
         self.news.notify_waiters();
     }
 
-    /// The set of voters goes to disk once this gateway may be counted: a disk that names them vouches for its slots.
-    fn keep_voters(&self) {
-        let control = self.control.borrow();
-        if !self.voters_kept.get() && control.voter.whole() && !control.voters().is_empty() {
-            self.voters_kept.set(true);
-            self.store(
-                Entered { voters: Some(control.voters().to_vec()), slots: Vec::new(), posts: Vec::new() },
-                Vec::new(),
-            );
-        }
-    }
-
     fn store(&self, entered: Entered, then: Kept) {
         let Some(logbook) = &self.logbook else {
             self.kept.send(then).ok();
@@ -178,17 +163,17 @@
         self.sessions.borrow().values().for_each(|session| drop(session.try_send(beat.clone())));
     }
 
-    /// Carries a change to its end; false where it may or may not have come to be.
-    pub async fn change(&self, change: Change) -> bool {
+    /// Carries a change to its end.
+    pub async fn change(&self, change: Change) -> Outcome {
         let token = self.tokens.get();
         self.tokens.set(token + 1);
         let (sender, done) = oneshot::channel();
         self.waiting.borrow_mut().insert(token, sender);
         let withdraw = Withdraw { port: self, token };
         self.step(|control, now| control.propose(now, change, token));
-        let well = done.await.unwrap_or(false);
+        let outcome = done.await.unwrap_or(Outcome::Unclear);
         drop(withdraw);
-        well
+        outcome
     }
 
     /// The chosen value of a register, confirmed by a majority after this call began; none where none confirms in time.
--- a/logbook/src/lib.rs
+++ b/logbook/src/lib.rs
@@ -6,7 +6,7 @@
 use error_stack::{Report, ResultExt};
 use okaywal::{Configuration, Entry, EntryId, LogManager, SegmentReader, WriteAheadLog};
 use serde::{Deserialize, Serialize};
-use signal::{Duty, Node, Post, Register, Slot};
+use signal::{Duty, Muster, Post, Register, Slot};
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -46,10 +46,11 @@
 
 impl std::error::Error for LogbookError {}
 
-/// All that is kept. Empty voters: nothing has ever been kept here.
+/// All that is kept. A muster that isn't known: nothing has ever been kept here.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
-    pub voters: Vec<Node>,
+    /// Who votes. A disk that names it vouches for the slots beside it.
+    pub muster: Muster,
     pub slots: BTreeMap<Register, Slot>,
     /// The last grant of each duty.
     pub posts: BTreeMap<Duty, Post>,
@@ -58,15 +59,15 @@
 /// What is added: nothing named stays as it was.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Entered {
-    pub voters: Option<Vec<Node>>,
+    pub muster: Option<Muster>,
     pub slots: Vec<(Register, Slot)>,
     pub posts: Vec<Post>,
 }
 
 impl State {
     fn enter(&mut self, entered: Entered) {
-        if let Some(voters) = entered.voters {
-            self.voters = voters;
+        if let Some(muster) = entered.muster {
+            self.muster = muster;
         }
         self.slots.extend(entered.slots);
         self.posts.extend(entered.posts.into_iter().map(|post| (post.duty, post)));
@@ -165,14 +166,14 @@
         let jobs: Vec<Job> = std::iter::once(job).chain(queue.try_iter()).collect();
         let mut all = Entered::default();
         for job in &jobs {
-            all.voters = job.entered.voters.clone().or(all.voters);
+            all.muster = job.entered.muster.clone().or(all.muster);
             for (register, slot) in &job.entered.slots {
                 all.slots.retain(|(r, _)| r != register);
                 all.slots.push((*register, slot.clone()));
             }
             all.posts.extend(&job.entered.posts);
         }
-        if all.voters.is_some() || !all.slots.is_empty() || !all.posts.is_empty() {
+        if all.muster.is_some() || !all.slots.is_empty() || !all.posts.is_empty() {
             // Before the commit: a checkpoint may run the moment that it is in the log.
             locked(state).enter(all.clone());
             while !write(&mut log, &all) {
@@ -220,7 +221,12 @@
         let ballot = Ballot { round, node: 1, nonce: 2 };
         Slot {
             promised: ballot,
-            held: Some(Held { ballot, stamp: round, value: vec![round as u8; 3000].into() }),
+            held: Some(Held {
+                ballot,
+                stamp: round,
+                value: vec![round as u8; 3000].into(),
+                marks: Vec::new(),
+            }),
         }
     }
 
@@ -242,16 +248,19 @@
         let folder = folder("again");
         let (book, found) = Logbook::open(&folder).unwrap();
         assert_eq!(found, State::default());
-        enter(&book, Entered { voters: Some(vec![1, 2, 3]), slots: Vec::new(), posts: Vec::new() });
+        enter(
+            &book,
+            Entered { muster: Some(Muster::first(&[1, 2, 3])), slots: Vec::new(), posts: Vec::new() },
+        );
         for round in 1..400 {
             enter(
                 &book,
-                Entered { voters: None, slots: vec![(Register::Chart, slot(round))], posts: Vec::new() },
+                Entered { muster: None, slots: vec![(Register::Chart, slot(round))], posts: Vec::new() },
             );
         }
         drop(book);
         let (_, found) = Logbook::open(&folder).unwrap();
-        assert_eq!((found.voters, &found.slots[&Register::Chart]), (vec![1, 2, 3], &slot(399)));
+        assert_eq!((found.muster.seats, &found.slots[&Register::Chart]), (vec![1, 2, 3], &slot(399)));
         let bytes: u64 =
             fs::read_dir(folder.join(LOG)).unwrap().map(|f| f.unwrap().metadata().unwrap().len()).sum();
         assert!(bytes < 8 * u64::from(SEGMENT), "{bytes}");
@@ -263,11 +272,14 @@
     fn a_log_cut_anywhere_gives_back_an_earlier_state() {
         let whole = folder("whole");
         let (book, _) = Logbook::open(&whole).unwrap();
-        enter(&book, Entered { voters: Some(vec![1, 2, 3]), slots: Vec::new(), posts: Vec::new() });
+        enter(
+            &book,
+            Entered { muster: Some(Muster::first(&[1, 2, 3])), slots: Vec::new(), posts: Vec::new() },
+        );
         for round in 1..4 {
             enter(
                 &book,
-                Entered { voters: None, slots: vec![(Register::Chart, slot(round))], posts: Vec::new() },
+                Entered { muster: None, slots: vec![(Register::Chart, slot(round))], posts: Vec::new() },
             );
         }
         let log = fs::read_dir(whole.join(LOG)).unwrap().next().unwrap().unwrap().path();
@@ -282,7 +294,7 @@
             if let Ok((_, found)) = Logbook::open(&torn) {
                 let held = found.slots.get(&Register::Chart);
                 assert!(held.is_none_or(|held| (1..4).any(|round| *held == slot(round))), "cut at {cut}");
-                assert!(held.is_none() || found.voters == [1, 2, 3], "cut at {cut}");
+                assert!(held.is_none() || found.muster.seats == [1, 2, 3], "cut at {cut}");
             }
             fs::remove_dir_all(&torn).unwrap();
         }
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -4,9 +4,11 @@
 #![forbid(unsafe_code)]
 
 mod lot;
+mod muster;
 pub mod pack;
 
 pub use lot::Lot;
+pub use muster::Muster;
 
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -33,12 +35,19 @@
     Chart,
     /// Which zones are evacuated.
     Evacuations,
-    /// Who votes on the others; decided once, by the seeds alone.
-    Founders,
+    /// Who votes on all registers, this one among them: a `Muster`.
+    Muster,
 }
 
 /// Those that the voters hold and are asked about.
-pub const REGISTERS: [Register; 2] = [Register::Chart, Register::Evacuations];
+pub const REGISTERS: [Register; 3] = [Register::Chart, Register::Evacuations, Register::Muster];
+
+/// What was acknowledged under a number of the operators: the digest of the text that stands under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    pub version: u64,
+    pub digest: [u8; 16],
+}
 
 /// A register's value under the ballot it was accepted with. Among chosen values a stamp names one content.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,6 +55,8 @@
     pub ballot: Ballot,
     pub stamp: u64,
     pub value: Bytes,
+    /// Of the configuration: the last numbers that were taken, oldest first, the one that stands at the end.
+    pub marks: Vec<Mark>,
 }
 
 /// All that a voter has on disk of one register.
@@ -199,8 +210,8 @@
     pub confirmed: Option<f64>,
     pub vector: Vector,
     pub posts: Vec<Post>,
-    /// Who votes; empty is not known yet.
-    pub voters: Vec<Node>,
+    /// Who votes, as far as known here.
+    pub muster: Muster,
 }
 
 /// One add to a name of the counter.
@@ -212,13 +223,9 @@
     pub keep: f32,
 }
 
+/// What is asked of voters, and their answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Word {
-    /// First on each link between control gateways; an empty `voters` is not known yet.
-    Greet {
-        keeper: Keeper,
-        voters: Vec<Node>,
-    },
+pub enum Poll {
     Prepare(Register, Ballot),
     Promise(Register, Ballot, Option<Held>),
     Refuse(Register, Ballot, Ballot),
@@ -238,6 +245,19 @@
     Deny(Post),
     /// A holder names its successor.
     Yield(Post, Node),
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Word {
+    /// First on each link between control gateways.
+    Greet {
+        keeper: Keeper,
+        muster: Muster,
+    },
+    /// Said to voters and by them: counts in the epoch that it names alone.
+    Poll(u64, Poll),
+    /// Who votes by now: the answer to a poll of an earlier epoch.
+    Muster(Muster),
     Beat(Beat),
     Pull(Vector),
     News(Vec<Piece>),
@@ -307,11 +327,16 @@
 
     #[test]
     fn a_word_survives_the_wire() {
-        let held =
-            Held { ballot: Ballot { round: 3, node: 7, nonce: 9 }, stamp: 4, value: Bytes::from("text") };
+        let held = Held {
+            ballot: Ballot { round: 3, node: 7, nonce: 9 },
+            stamp: 4,
+            value: Bytes::from("text"),
+            marks: vec![Mark { version: 3, digest: [5; 16] }],
+        };
         let mut buffer = BytesMut::new();
-        Wire::default().encode(&Word::Accept(Register::Chart, held.clone()), &mut buffer).unwrap();
+        let word = Word::Poll(2, Poll::Accept(Register::Chart, held.clone()));
+        Wire::default().encode(&word, &mut buffer).unwrap();
         let read = Wire::default().decode(&mut buffer).unwrap();
-        assert!(matches!(read, Some(Word::Accept(Register::Chart, same)) if same == held));
+        assert!(matches!(read, Some(Word::Poll(2, Poll::Accept(Register::Chart, same))) if same == held));
     }
 }
