Who votes changes by agreement: a joint epoch, settled, taken in whole, grants waited out

Cause: the set of voters could never change; a first start took nobody in. Change: harbour::crew, the core of a change; voters that are to get a seat read what the seats hold first; questions and bids are numbered from a number by chance in each life; a recall keeps what was told and asks again ever more seldom.

--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -2,13 +2,17 @@
 //! stand to each other: the voter's disk comes before its word, what is chosen spreads by beats and pulls, sessions make
 //! members. Must never read a clock or touch a socket: `harbourmaster` does that.
 
+use crate::crew::{Crew, Ended, OWN_TOKENS, Sight};
 use crate::duties::{Duties, Term};
 use crate::helm::{Change, Helm};
 use crate::journal::{Event, Journal};
 use crate::roster::Roster;
 use crate::voter::Voter;
 use crate::{Act, Outcome, Record, Refusal, Reseat};
-use signal::{Beat, Duty, Hosts, Keeper, Muster, Node, Piece, Poll, Post, Register, Slot, Vector, Word};
+use signal::{
+    Ballot, Beat, Duty, Held, Hosts, Keeper, Muster, Node, Piece, Poll, Post, REGISTERS, Register, Slot,
+    Vector, Word,
+};
 use std::collections::BTreeMap;
 
 /// Between two signs of life to the other control gateways.
@@ -34,7 +38,7 @@
 pub struct Control {
     me: Node,
     muster: Muster,
-    needed: usize,
+    crew: Crew,
     pub voter: Voter,
     pub helm: Helm,
     pub duties: Duties,
@@ -44,16 +48,48 @@
     ahead: f64,
     beat_at: f64,
     began: f64,
+    chance: oorandom::Rand64,
+}
+
+/// One control gateway as another one sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    pub node: Node,
+    /// None of one that nobody has met.
+    pub zone: Option<String>,
+    /// It has a seat; it is to have one once the change that is under way ends.
+    pub seat: bool,
+    pub comes: bool,
+    /// Seconds since a word of it came; none where none ever did.
+    pub heard: Option<f64>,
+    /// Does its disk hold all that it ever promised? None where it didn't say.
+    pub whole: Option<bool>,
+}
+
+/// Who votes, as one control gateway sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Voters {
+    pub muster: Muster,
+    /// False while a first start still takes others in: no order is taken.
+    pub founded: bool,
+    /// All control gateways that have a seat, are to have one, or could.
+    pub members: Vec<Member>,
+    /// What this gateway's own disk holds of each register: stamp and ballot. Of several survivors the one with the greatest
+    /// ballots is the newest.
+    pub holds: Vec<(Register, u64, Ballot)>,
+    /// How the last change ended, and how many seconds ago.
+    pub last: Option<(f64, Ended)>,
 }
 
 impl Control {
     pub fn new(now: f64, start: Start) -> Control {
         let Start { keeper, muster, needed, slots, posts, seed } = start;
         let me = keeper.node;
+        let mut chance = oorandom::Rand64::new(u128::from(seed.rotate_left(7)));
         let mut control = Control {
             me,
             muster: Muster::default(),
-            needed,
+            crew: Crew::new(now, me, needed),
             voter: Voter::new(now, me, slots),
             helm: Helm::new(me, seed),
             duties: Duties::new(now, me, !seed, &posts),
@@ -61,14 +97,16 @@
             ahead: 0.0,
             beat_at: f64::NEG_INFINITY,
             began: now,
+            chance: oorandom::Rand64::new(u128::from(chance.rand_u64())),
         };
+        control.voter.set_serial(chance.rand_u64());
         control.stand(now, &muster);
         control
     }
 
     /// Another epoch begins here, unless this one or a later one has. It is on the disk before any word of it.
     fn stand(&mut self, now: f64, muster: &Muster) -> Vec<Act> {
-        if muster.epoch <= self.muster.epoch {
+        if muster.epoch <= self.muster.epoch || muster.seats.is_empty() {
             return Vec::new();
         }
         self.muster = muster.clone();
@@ -76,9 +114,58 @@
         self.duties.set_muster(muster);
         let mut acts = self.keep_muster();
         acts.extend(self.helm.set_muster(now, muster));
+        acts.extend(self.crew.stand(now, muster));
         acts
     }
 
+    /// What follows from the acts of a part: orders of the crew end with the crew, and a set that was chosen stands.
+    fn follow(&mut self, now: f64, acts: Vec<Act>) -> Vec<Act> {
+        let mut rest = Vec::new();
+        for act in acts {
+            match act {
+                Act::Done(token, outcome) if token >= OWN_TOKENS => {
+                    // An order of the crew is about one register; the greatest ballot of all would do as well.
+                    self.crew.done(now, token, outcome, |r| self.helm.chosen(r).map(|h| h.ballot));
+                }
+                other => rest.push(other),
+            }
+        }
+        let chosen = self.helm.chosen(Register::Muster).filter(|held| held.stamp > self.muster.epoch);
+        if let Some(muster) = chosen.and_then(|held| Muster::from_bytes(&held.value)) {
+            rest.extend(self.stand(now, &muster));
+            rest.extend(self.beat_all(now));
+        }
+        rest
+    }
+
+    /// Steers the change of voters.
+    fn tick_crew(&mut self, now: f64) -> Vec<Act> {
+        let keepers = self.journal.roster.keepers();
+        let old = |r: &Register| self.helm.chosen(*r).is_some_and(|held| !self.stands(held));
+        let sight = Sight {
+            keepers: &keepers,
+            confirmed: self.helm.confirmed(Register::Muster),
+            all: REGISTERS.iter().try_fold(f64::INFINITY, |all, r| Some(self.helm.confirmed(*r)?.min(all))),
+            stale: REGISTERS.into_iter().filter(old).collect(),
+            duties: !self.duties.posts(now).is_empty() || !self.duties.granted_posts().is_empty(),
+        };
+        let (mut acts, changes) = self.crew.tick(now, &sight, self.voter.whole());
+        for (token, change) in changes {
+            let proposed = self.helm.propose(now, change, token);
+            acts.extend(self.follow(now, proposed));
+        }
+        acts
+    }
+
+    /// Was it chosen under this founding? What was before it is not given out: it may be newer than what stands.
+    fn stands(&self, held: &Held) -> bool {
+        held.ballot.round > self.muster.least_round()
+    }
+
+    fn standing(&self, register: Register) -> Option<&Held> {
+        self.helm.chosen(register).filter(|held| self.stands(held))
+    }
+
     /// A disk that names who votes vouches for its slots: one that has forgotten them must not.
     fn keep_muster(&self) -> Vec<Act> {
         let muster = Some(self.muster.clone()).filter(|muster| muster.known() && self.voter.whole());
@@ -90,10 +177,71 @@
         &self.muster
     }
 
-    /// An order about who votes; ends as `Act::Done` under `token`.
-    pub fn reseat(&mut self, _now: f64, order: Reseat, token: u64) -> Vec<Act> {
-        let _ = (order, self.needed);
-        vec![Act::Done(token, Outcome::Refused(Refusal::Unknown))]
+    /// An order about who votes; ends as `Act::Done` under `token`, which is below `crew::OWN_TOKENS`. A replacement that ends
+    /// as unclear goes on: sent again, the order waits for the same change, or is told that it has come.
+    pub fn reseat(&mut self, now: f64, order: Reseat, token: u64) -> Vec<Act> {
+        match order {
+            Reseat::Replace { old, new } => {
+                let whole = self.voter.whole();
+                let ended = self.crew.replace(now, token, old, new, whole);
+                let mut acts: Vec<Act> = ended.into_iter().map(|outcome| Act::Done(token, outcome)).collect();
+                acts.extend(self.tick_crew(now));
+                acts
+            }
+            Reseat::Refound { epoch, seats } => match self.refound(now, epoch, &seats) {
+                Ok(acts) => {
+                    self.crew.found(now, token, seats);
+                    acts
+                }
+                Err(refusal) => vec![Act::Done(token, Outcome::Refused(refusal))],
+            },
+        }
+    }
+
+    /// Founds anew with this gateway's seat alone, on what its disk holds; the others that are named are taken in from there,
+    /// by agreement. Which set it is and under which ballot are on its disk at one time, before a word of it.
+    fn refound(&mut self, now: f64, epoch: u64, seats: &[Node]) -> Result<Vec<Act>, Refusal> {
+        match () {
+            () if !self.muster.known() => return Err(Refusal::Unknown),
+            () if !self.voter.whole() => return Err(Refusal::NotWhole),
+            () if !seats.contains(&self.me) => return Err(Refusal::NoSeat),
+            () if epoch != self.muster.epoch => return Err(Refusal::Epoch),
+            () => {}
+        }
+        let muster = self.muster.refound(vec![self.me], self.chance.rand_u64() as u16);
+        let nonce = self.chance.rand_u64() as u32;
+        let ballot = Ballot { round: muster.least_round() + 1, node: self.me, nonce };
+        let held = Held { ballot, stamp: muster.epoch, value: muster.to_bytes(), marks: Vec::new() };
+        self.voter.found(held.clone());
+        let record = Record { slots: self.voter.slots(), muster: Some(muster.clone()), ..Record::default() };
+        let mut acts = vec![Act::Store(record, Vec::new())];
+        acts.extend(self.helm.learn(Register::Muster, &held));
+        acts.extend(self.stand(now, &muster));
+        Ok(acts)
+    }
+
+    /// Who votes, for people to look at.
+    pub fn voters(&self, now: f64) -> Voters {
+        let keepers = self.journal.roster.keepers();
+        let mut nodes: Vec<Node> = keepers.iter().map(|k| k.node).chain(self.muster.voters()).collect();
+        nodes.sort_unstable();
+        nodes.dedup();
+        let member = |node: Node| Member {
+            node,
+            zone: keepers.iter().find(|k| k.node == node).map(|k| k.zone.clone()),
+            seat: self.muster.seats.contains(&node),
+            comes: self.muster.coming.contains(&node),
+            heard: self.crew.seen(now, node),
+            whole: if node == self.me { Some(self.voter.whole()) } else { self.crew.is_whole(node) },
+        };
+        let slots = self.voter.slots().into_iter();
+        Voters {
+            muster: self.muster.clone(),
+            founded: self.crew.founded(),
+            members: nodes.into_iter().map(member).collect(),
+            holds: slots.filter_map(|(r, slot)| slot.held.map(|held| (r, held.stamp, held.ballot))).collect(),
+            last: self.crew.last().map(|(at, ended)| (now - at, ended.clone())),
+        }
     }
 
     pub fn clock(&self, now: f64) -> f64 {
@@ -135,7 +283,7 @@
     }
 
     pub fn vector(&self, now: f64) -> Vector {
-        let stamp = |register| self.helm.chosen(register).map_or(0, |held| held.stamp);
+        let stamp = |register| self.standing(register).map_or(0, |held| held.stamp);
         Vector {
             chart: stamp(Register::Chart),
             evacuations: stamp(Register::Evacuations),
@@ -156,6 +304,8 @@
             vector: self.vector(now),
             posts: self.duties.posts(now),
             muster: self.muster.clone(),
+            whole: self.voter.whole(),
+            missing: self.crew.missing(now),
         })
     }
 
@@ -166,8 +316,7 @@
             [(Register::Chart, theirs.chart), (Register::Evacuations, theirs.evacuations)]
         {
             pieces.extend(
-                self.helm
-                    .chosen(register)
+                self.standing(register)
                     .filter(|h| h.stamp > stamp)
                     .map(|h| Piece::Chosen(register, h.clone())),
             );
@@ -219,8 +368,14 @@
         acts
     }
 
+    /// A change of a register under a token below `crew::OWN_TOKENS`. While a first start still takes others in it is unclear
+    /// at once, and nothing was begun.
     pub fn propose(&mut self, now: f64, change: Change, token: u64) -> Vec<Act> {
-        self.helm.propose(now, change, token)
+        if !self.crew.founded() {
+            return vec![Act::Done(token, Outcome::Unclear)];
+        }
+        let acts = self.helm.propose(now, change, token);
+        self.follow(now, acts)
     }
 
     fn others(&self) -> impl Iterator<Item = Node> {
@@ -236,8 +391,12 @@
 
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = self.voter.tick(now);
-        acts.extend(self.helm.tick(now));
-        acts.extend(self.duties.tick(now));
+        let helm = self.helm.tick(now);
+        acts.extend(self.follow(now, helm));
+        acts.extend(self.tick_crew(now));
+        if self.crew.founded() {
+            acts.extend(self.duties.tick(now));
+        }
         if self.journal.append(now, Event::Passed) || now >= self.beat_at + BEAT_EVERY {
             acts.extend(self.beat_all(now));
         }
@@ -252,7 +411,7 @@
         }
         match poll {
             // Who has forgotten its grants grants nothing.
-            Poll::Bid(..) if !self.voter.whole() => Vec::new(),
+            Poll::Bid(..) if !self.voter.whole() || !self.crew.founded() => Vec::new(),
             Poll::Bid(..) | Poll::Grant(..) | Poll::Deny(_) | Poll::Yield(..) => {
                 self.duties.hear(now, from, &poll)
             }
@@ -264,10 +423,10 @@
             Poll::Recalled(_, _, ref posts) => {
                 posts.iter().for_each(|&post| self.duties.recall(now, post));
                 let mut acts = self.voter.hear(from, &poll);
-                if !acts.is_empty() {
-                    let posts = self.duties.granted_posts();
-                    acts.push(Act::Store(Record { posts, ..Record::default() }, Vec::new()));
-                    acts.extend(self.keep_muster());
+                // What was told and who votes go to the disk together: the one vouches for the other.
+                if let Some(Act::Store(record, _)) = acts.first_mut() {
+                    record.posts = self.duties.granted_posts();
+                    record.muster = Some(self.muster.clone());
                 }
                 acts
             }
@@ -275,7 +434,15 @@
             | Poll::Accepted(..)
             | Poll::Refuse(..)
             | Poll::Answer(..)
-            | Poll::Fetched(..) => self.helm.hear(now, from, &poll),
+            | Poll::Fetched(..) => {
+                match &poll {
+                    Poll::Accepted(register, ballot) => self.crew.holds(from, *register, *ballot),
+                    Poll::Answer(_, held) => held.iter().for_each(|(r, b)| self.crew.holds(from, *r, *b)),
+                    _ => {}
+                }
+                let acts = self.helm.hear(now, from, &poll);
+                self.follow(now, acts)
+            }
             Poll::Prepare(..) | Poll::Accept(..) | Poll::Ask(_) | Poll::Fetch(_) => {
                 self.voter.hear(from, &poll)
             }
@@ -284,6 +451,7 @@
 
     /// A word of another control gateway, or of this one to itself.
     pub fn hear(&mut self, now: f64, from: Node, word: Word) -> Vec<Act> {
+        self.crew.heard(now, from);
         match word {
             Word::Greet { keeper, muster } => {
                 let mut acts = self.stand(now, &muster);
@@ -292,6 +460,7 @@
             }
             Word::Beat(beat) => {
                 self.heard_clock(now, beat.clock);
+                self.crew.told(from, beat.whole, &beat.missing);
                 let mut acts = self.stand(now, &beat.muster);
                 self.journal.append(now, Event::Heard(from));
                 beat.posts.iter().for_each(|&post| self.duties.told(now, from, post));
--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -68,6 +68,8 @@
 impl Duties {
     /// `posts`: what this gateway granted last in its life before, from its disk.
     pub fn new(now: f64, me: Node, seed: u64, posts: &[Post]) -> Duties {
+        // By chance, so that no grant to an earlier life's bid is taken for one to this life's.
+        let serial = oorandom::Rand64::new(u128::from(seed.rotate_left(1))).rand_u64();
         let mut duties = Duties {
             me,
             muster: Muster::default(),
@@ -78,7 +80,7 @@
             known: BTreeMap::new(),
             seen: BTreeMap::new(),
             try_at: BTreeMap::new(),
-            serial: 0,
+            serial,
             leaving: false,
         };
         posts.iter().for_each(|&post| duties.recall(now, post));
@@ -145,7 +147,7 @@
     }
 
     fn bid(&mut self, now: f64, duty: Duty, term: u64) -> Vec<Act> {
-        self.serial += 1;
+        self.serial = self.serial.wrapping_add(1);
         let serial = self.serial;
         self.bidding.insert(duty, Bidding { term, serial, at: now, yes: BTreeSet::new() });
         let post = Post { duty, holder: self.me, term };
@@ -230,10 +232,9 @@
     }
 
     fn granted(&mut self, now: f64, from: Node, post: Post, serial: u64) -> Vec<Act> {
-        let Some(bidding) = self.bidding.get_mut(&post.duty).filter(|b| b.serial == serial) else {
-            return Vec::new();
-        };
-        if !self.muster.votes(from) || self.leaving {
+        let mine = |bidding: &&mut Bidding| (bidding.serial, bidding.term) == (serial, post.term);
+        let Some(bidding) = self.bidding.get_mut(&post.duty).filter(mine) else { return Vec::new() };
+        if post.holder != self.me || !self.muster.votes(from) || self.leaving {
             return Vec::new();
         }
         bidding.yes.insert(from);
--- a/harbour/src/lib.rs
+++ b/harbour/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod control;
+pub mod crew;
 pub mod duties;
 pub mod helm;
 pub mod journal;
--- a/harbour/src/voter.rs
+++ b/harbour/src/voter.rs
@@ -1,20 +1,45 @@
 //! One voter's side of the registers: what it has promised and accepted, always as it stands on its disk before anybody
 //! hears of it. A voter whose disk is gone has forgotten its promises: it is silent until it has read what a majority of
-//! the set holds beside itself. Must never answer from what is not on disk.
+//! the set holds beside itself; one that is to get a seat, until it has read what a majority of those before it hold. Must
+//! never answer from what is not on disk.
 
 use crate::{Act, Record};
-use signal::{Ballot, Muster, Node, Poll, REGISTERS, Register, Slot};
+use signal::{Ballot, Held, Muster, Node, Poll, REGISTERS, Register, Slot};
 use std::collections::BTreeMap;
 
 /// Longer than any attempt to write lives (`helm::LIFE`), held-up answers of its first half included: a voter that
 /// forgot a promise is back only when the attempt that it was made to is over, so that it can't be counted twice.
 const FORGET: f64 = 2.5;
-const RECALL_EVERY: f64 = 0.25;
+/// Who has not told by then is asked again, and then only after twice as long each time: two ways and two slow syncs fit in,
+/// and a large configuration on a narrow link is not sent again while it is still coming.
+const RECALL_AGAIN: f64 = 0.75;
+
+/// What a voter without a memory has done to get it back. An answer counts whenever it comes: it was given after `FORGET`, when
+/// all attempts that counted a word from before the loss were over, so that whoever told has since then only promised and
+/// accepted more, in majorities without this voter. Such a majority and the next one with it meet elsewhere.
+#[derive(Clone, Debug, Default)]
+struct Recall {
+    since: f64,
+    /// When each was asked last, and how long to wait before it is asked again.
+    asked: BTreeMap<Node, (f64, f64)>,
+    told: BTreeMap<Node, Vec<(Register, Slot)>>,
+}
 
 #[derive(Clone, Debug)]
 enum Memory {
     Whole,
-    Forgotten { since: f64, asked: f64, serial: u64, told: BTreeMap<Node, Vec<(Register, Slot)>> },
+    /// Of one that is to get a seat: all that it promised is there, but not what the seats before it hold.
+    Joining(Recall),
+    Forgotten(Recall),
+}
+
+impl Memory {
+    fn recall(&mut self) -> Option<&mut Recall> {
+        match self {
+            Memory::Whole => None,
+            Memory::Joining(recall) | Memory::Forgotten(recall) => Some(recall),
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -23,19 +48,43 @@
     muster: Muster,
     slots: BTreeMap<Register, Slot>,
     memory: Memory,
+    serial: u64,
 }
 
 impl Voter {
     /// `slots` is what the disk gave back; none where there should have been something and is not.
     pub fn new(now: f64, me: Node, slots: Option<BTreeMap<Register, Slot>>) -> Voter {
-        let forgotten =
-            Memory::Forgotten { since: now, asked: f64::NEG_INFINITY, serial: 0, told: BTreeMap::new() };
+        let forgotten = Memory::Forgotten(Recall { since: now, ..Recall::default() });
         let memory = if slots.is_some() { Memory::Whole } else { forgotten };
-        Voter { me, muster: Muster::default(), slots: slots.unwrap_or_default(), memory }
+        Voter { me, muster: Muster::default(), slots: slots.unwrap_or_default(), memory, serial: 0 }
     }
 
+    /// Another epoch: what was told in the one before counts for nothing, and is asked for anew at once.
     pub fn set_muster(&mut self, muster: &Muster) {
         self.muster = muster.clone();
+        let comes = muster.coming.contains(&self.me) && !muster.seats.contains(&self.me);
+        self.memory = match &self.memory {
+            Memory::Forgotten(Recall { since, .. }) => {
+                Memory::Forgotten(Recall { since: *since, ..Recall::default() })
+            }
+            // It promised nothing yet that counts in this epoch: no attempt has to be waited for.
+            _ if comes => Memory::Joining(Recall { since: f64::NEG_INFINITY, ..Recall::default() }),
+            _ => Memory::Whole,
+        };
+    }
+
+    /// The number of this life's questions, by chance: answers to an earlier life's may come late, and tell of what was held
+    /// before that life promised more.
+    pub fn set_serial(&mut self, number: u64) {
+        self.serial = number;
+    }
+
+    /// Whose slots it has to read: those of the seats before it, or of all that vote.
+    fn tellers(&self) -> Muster {
+        match self.memory {
+            Memory::Joining(_) => Muster { coming: Vec::new(), ..self.muster.clone() },
+            _ => self.muster.clone(),
+        }
     }
 
     /// May it be counted in a majority?
@@ -47,18 +96,25 @@
         self.whole() && self.muster.votes(self.me)
     }
 
-    /// Asks the others for what was forgotten; called now and then.
+    /// Asks those that have not told yet for what was forgotten; called now and then.
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
-        let Memory::Forgotten { since, asked, serial, told } = &mut self.memory else { return Vec::new() };
-        if now < *since + FORGET || now < *asked + RECALL_EVERY || !self.muster.votes(self.me) {
+        let (tellers, word) = (self.tellers(), self.muster.say(Poll::Recall(self.serial)));
+        let Some(recall) = self.memory.recall().filter(|recall| now >= recall.since + FORGET) else {
+            return Vec::new();
+        };
+        if !self.muster.votes(self.me) {
             return Vec::new();
         }
-        *asked = now;
-        *serial += 1;
-        told.clear();
-        let word = self.muster.say(Poll::Recall(*serial));
-        let others = self.muster.voters().into_iter().filter(|&node| node != self.me);
-        others.map(|node| Act::Send(node, word.clone())).collect()
+        let mut acts = Vec::new();
+        for node in tellers.voters() {
+            let (at, wait) = recall.asked.get(&node).copied().unwrap_or((f64::NEG_INFINITY, RECALL_AGAIN));
+            if node != self.me && !recall.told.contains_key(&node) && now >= at + wait {
+                let next = if at.is_finite() { 2.0 * wait } else { wait };
+                recall.asked.insert(node, (now, next));
+                acts.push(Act::Send(node, word.clone()));
+            }
+        }
+        acts
     }
 
     fn store(&self, register: Register, to: Node, poll: Poll) -> Vec<Act> {
@@ -110,17 +166,19 @@
         }
     }
 
-    /// A majority of the set beside itself has told: whatever it had promised or accepted that counts, one of these has.
+    /// A majority beside itself has told: whatever it had promised or accepted that counts, one of these has. A seat that is to
+    /// be reads from a majority of the seats before it, none of which votes in an earlier epoch any more.
     fn recalled(&mut self, from: Node, answer: u64, slots: &[(Register, Slot)]) -> Vec<Act> {
-        let Memory::Forgotten { serial, told, .. } = &mut self.memory else { return Vec::new() };
-        if answer != *serial || from == self.me || !self.muster.votes(from) {
+        let (tellers, serial) = (self.tellers(), self.serial);
+        let Some(recall) = self.memory.recall() else { return Vec::new() };
+        if answer != serial || from == self.me || !recall.asked.contains_key(&from) {
             return Vec::new();
         }
-        told.insert(from, slots.to_vec());
-        if !self.muster.enough(|node| told.contains_key(&node)) {
+        recall.told.insert(from, slots.to_vec());
+        if !tellers.enough(|node| recall.told.contains_key(&node)) {
             return Vec::new();
         }
-        for (register, other) in std::mem::take(told).into_values().flatten() {
+        for (register, other) in std::mem::take(&mut recall.told).into_values().flatten() {
             let slot = self.slots.entry(register).or_default();
             slot.promised = slot.promised.max(other.promised);
             if other.held.as_ref().map(|h| h.ballot) > slot.held.as_ref().map(|h| h.ballot) {
@@ -131,6 +189,13 @@
         vec![Act::Store(Record { slots: self.slots(), ..Record::default() }, Vec::new())]
     }
 
+    /// Founds anew: who votes, as the value under the first ballot of the new founding, which outranks all of the old ones.
+    /// What else is held stays as it is, to be settled under the new founding.
+    pub fn found(&mut self, held: Held) {
+        let slot = Slot { promised: held.ballot, held: Some(held) };
+        self.slots.insert(Register::Muster, slot);
+    }
+
     /// All that it has promised and accepted.
     pub fn slots(&self) -> Vec<(Register, Slot)> {
         self.slots.iter().map(|(register, slot)| (*register, slot.clone())).collect()
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -212,6 +212,10 @@
     pub posts: Vec<Post>,
     /// Who votes, as far as known here.
     pub muster: Muster,
+    /// Does this gateway's disk hold all that it ever promised?
+    pub whole: bool,
+    /// Voters that this gateway, in touch with a majority all the while, has not heard of for very long.
+    pub missing: Vec<Node>,
 }
 
 /// One add to a name of the counter.
--- a/signal/src/muster.rs
+++ b/signal/src/muster.rs
@@ -8,6 +8,9 @@
 
 /// The epochs of one founding: a person who founds anew goes beyond all of them.
 const FOUNDING_BITS: u32 = 32;
+/// Of these the changes take the lower half. The upper one is drawn: two survivors that are founded anew by mistake don't come
+/// to two sets under one epoch.
+const CHANGE_BITS: u32 = 16;
 /// Rounds of ballots of one founding: so many attempts are never made.
 const ROUND_BITS: u32 = 40;
 
@@ -44,9 +47,11 @@
         Muster { epoch: self.epoch + 1, seats: seats.to_vec(), coming: Vec::new() }
     }
 
-    /// A set that a person founds anew, beyond all epochs that those before may have come to.
-    pub fn refound(&self, seats: Vec<Node>) -> Muster {
-        let epoch = ((self.epoch >> FOUNDING_BITS) + 1) << FOUNDING_BITS;
+    /// A set that a person founds anew, beyond all epochs that those before may have come to; `lot` tells it from another one
+    /// that is founded elsewhere.
+    pub fn refound(&self, seats: Vec<Node>, lot: u16) -> Muster {
+        let founding = (self.epoch >> FOUNDING_BITS) + 1;
+        let epoch = (founding << FOUNDING_BITS) | (u64::from(lot) << CHANGE_BITS);
         Muster { epoch, seats: sorted(seats), coming: Vec::new() }
     }
 
