Sounding: the made-up network is a package of its own, world ready

Cause: control gateways were played by a network private to one test file: no clocks that run apart, disks that take no time and lose nothing, no word late or twice, and checks that other tests could not share.

Change: the package `sounding` (library) has the network, clocks, disks with a sync time that hang and lose what was not synced, words late, twice and held up, orders through any gateway, and the checks of every step: one line of chosen values, one content a stamp and ballot, one set an epoch, no duty with two holders, nothing confirmed that is older than what was known. A queue of events takes the place of a scan each 5 ms; gateways tick each 50 ms as the program does, and learning beats at once as there.

--- /dev/null
+++ b/sounding/src/checks.rs
@@ -0,0 +1,232 @@
+//! What must hold in every step, whatever happens: a register's chosen values form one line, by ballot and by stamp, with
+//! one content a stamp; an epoch names one set; what was acknowledged is in the line; whoever has a register confirmed holds
+//! nothing older than what anybody knew when that was asked. Must never look at what a gateway could not be seen to do.
+
+use bytes::Bytes;
+use harbour::control::Control;
+use harbour::helm::Helm;
+use harbour::{Outcome, Reseat};
+use signal::{Ballot, Held, Muster, Node, REGISTERS, Register, evacuated};
+use std::collections::BTreeMap;
+
+/// Of a clock's reading, in seconds, turned back into made-up time.
+const ROUNDING: f64 = 1e-6;
+
+/// What operators order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Chart { version: u64, text: Bytes },
+    Zone { zone: String, on: bool },
+    Reseat(Reseat),
+}
+
+impl Order {
+    fn register(&self) -> Register {
+        match self {
+            Order::Chart { .. } => Register::Chart,
+            Order::Zone { .. } => Register::Evacuations,
+            Order::Reseat(_) => Register::Muster,
+        }
+    }
+}
+
+/// An order's life.
+#[derive(Clone, Debug)]
+pub struct Given {
+    pub node: Node,
+    pub order: Order,
+    pub at: f64,
+    pub ended: Option<(f64, Outcome)>,
+}
+
+/// A chosen value, and when somebody first knew it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub stamp: u64,
+    pub value: Bytes,
+    pub at: f64,
+}
+
+/// All that was chosen of one register, as far as anybody learned it.
+#[derive(Clone, Debug, Default)]
+pub struct Line {
+    pub values: BTreeMap<Ballot, Seen>,
+    /// The greatest ballot that anybody knew, from when on.
+    newest: Vec<(f64, Ballot)>,
+}
+
+impl Line {
+    fn learned(&mut self, now: f64, held: &Held) -> Result<(), String> {
+        if let Some(seen) = self.values.get(&held.ballot) {
+            let same = seen.stamp == held.stamp && seen.value == held.value;
+            return if same {
+                Ok(())
+            } else {
+                Err(format!("two values under one ballot: {seen:?} {held:?}"))
+            };
+        }
+        let fits = |(before, value): (u64, &Bytes), (after, then): (u64, &Bytes)| {
+            before < after || (before == after && value == then)
+        };
+        let mine = (held.stamp, &held.value);
+        let before = self.values.range(..held.ballot).next_back().map(|(_, seen)| (seen.stamp, &seen.value));
+        let after = self.values.range(held.ballot..).next().map(|(_, seen)| (seen.stamp, &seen.value));
+        if before.is_some_and(|before| !fits(before, mine)) || after.is_some_and(|after| !fits(mine, after)) {
+            return Err(format!("no line: {held:?} between {before:?} and {after:?}"));
+        }
+        self.values.insert(held.ballot, Seen { stamp: held.stamp, value: held.value.clone(), at: now });
+        if self.newest.last().is_none_or(|(_, newest)| *newest < held.ballot) {
+            self.newest.push((now, held.ballot));
+        }
+        Ok(())
+    }
+
+    /// The greatest ballot that anybody knew before that moment.
+    fn known_before(&self, at: f64) -> Option<Ballot> {
+        let before = self.newest.partition_point(|(known, _)| *known < at - ROUNDING);
+        before.checked_sub(1).map(|n| self.newest[n].1)
+    }
+
+    /// The last value.
+    pub fn last(&self) -> Option<&Seen> {
+        self.values.values().next_back()
+    }
+}
+
+/// What was last seen of one gateway, so that only what is new is looked at.
+#[derive(Clone, Copy, Debug, Default)]
+struct Last {
+    life: u64,
+    epoch: u64,
+    ballots: [Ballot; REGISTERS.len()],
+    confirmed: [Option<f64>; REGISTERS.len()],
+}
+
+/// All that was seen, by register, epoch and token.
+#[derive(Clone, Debug, Default)]
+pub struct Checks {
+    pub lines: BTreeMap<Register, Line>,
+    pub musters: BTreeMap<u64, Muster>,
+    pub orders: BTreeMap<u64, Given>,
+    /// Also that a text that is acknowledged under a number is the one that stands under it.
+    pub own_text: bool,
+    last: BTreeMap<Node, Last>,
+}
+
+impl Checks {
+    /// After a step of a gateway. `of_clock` turns its clock's readings into made-up time.
+    pub fn looked(
+        &mut self,
+        now: f64,
+        node: Node,
+        life: u64,
+        control: &Control,
+        of_clock: impl Fn(f64) -> f64,
+    ) -> Result<(), String> {
+        let last = self.last.entry(node).or_default();
+        if last.life != life {
+            *last = Last { life, ..Last::default() };
+        }
+        let muster = control.muster();
+        if muster.epoch != last.epoch {
+            if muster.epoch < last.epoch {
+                return Err(format!("{node} went back to epoch {}", muster.epoch));
+            }
+            last.epoch = muster.epoch;
+            let known = self.musters.entry(muster.epoch).or_insert_with(|| muster.clone());
+            if known != muster {
+                return Err(format!("two sets of one epoch: {known:?} {muster:?}"));
+            }
+        }
+        for (n, register) in REGISTERS.into_iter().enumerate() {
+            let chosen = control.helm.chosen(register);
+            let ballot = chosen.map_or(Ballot::default(), |held| held.ballot);
+            if let Some(held) = chosen.filter(|_| ballot != last.ballots[n]) {
+                if ballot < last.ballots[n] {
+                    return Err(format!("{node} went back to {held:?}"));
+                }
+                last.ballots[n] = ballot;
+                self.lines.entry(register).or_default().learned(now, held)?;
+            }
+            let confirmed = control.helm.confirmed(register);
+            if let Some(asked) = confirmed.filter(|_| confirmed != last.confirmed[n]) {
+                last.confirmed[n] = confirmed;
+                let known = self.lines.get(&register).and_then(|line| line.known_before(of_clock(asked)));
+                if known.is_some_and(|known| known > ballot) {
+                    return Err(format!(
+                        "{node} has {register:?} {ballot:?} confirmed, {known:?} was known before"
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub fn given(&mut self, now: f64, node: Node, token: u64, order: Order) {
+        self.orders.insert(token, Given { node, order, at: now, ended: None });
+    }
+
+    pub fn is_open(&self, token: u64) -> bool {
+        self.orders.get(&token).is_some_and(|given| given.ended.is_none())
+    }
+
+    /// Orders under way at a gateway.
+    pub fn open(&self, node: Node) -> Vec<u64> {
+        let open =
+            |(token, given): (&u64, &Given)| (given.node == node && given.ended.is_none()).then_some(*token);
+        self.orders.iter().filter_map(open).collect()
+    }
+
+    /// An order's end; `helm` is that of the gateway that tells of it.
+    pub fn ended(
+        &mut self,
+        now: f64,
+        token: u64,
+        outcome: Outcome,
+        helm: Option<&Helm>,
+    ) -> Result<(), String> {
+        // Tokens that no order has are the test's own.
+        let Some(given) = self.orders.get_mut(&token) else { return Ok(()) };
+        given.ended.get_or_insert((now, outcome));
+        let (Outcome::Chosen, Some(helm)) = (outcome, helm) else { return Ok(()) };
+        let given = given.clone();
+        let line = self.lines.get(&given.order.register());
+        let line: Vec<&Seen> = line.map(|line| line.values.values().collect()).unwrap_or_default();
+        match &given.order {
+            Order::Chart { version, text } => {
+                let stamp = helm.chosen(Register::Chart).map_or(0, |held| held.stamp);
+                let stands = line.iter().find(|seen| seen.stamp == version + 1);
+                if stamp <= *version {
+                    return Err(format!("{version} is acknowledged, {stamp} is the newest stamp"));
+                }
+                if self.own_text && stands.is_some_and(|seen| seen.value != *text) {
+                    return Err(format!("{text:?} is acknowledged, {stands:?} stands"));
+                }
+            }
+            Order::Zone { zone, on } => {
+                // One of the values that stood while the order was under way has it.
+                let mut found = line.is_empty();
+                for seen in line.iter().rev() {
+                    found |= evacuated(&seen.value).contains(zone) == *on;
+                    if found || seen.at < given.at {
+                        break;
+                    }
+                }
+                if !found {
+                    return Err(format!("{:?} is acknowledged and nowhere to be seen", given.order));
+                }
+            }
+            Order::Reseat(_) => {}
+        }
+        Ok(())
+    }
+
+    /// The newest configuration's stamp that an acknowledgement vouches for.
+    pub fn acknowledged(&self) -> u64 {
+        let stamp = |given: &Given| match (&given.order, given.ended) {
+            (Order::Chart { version, .. }, Some((_, Outcome::Chosen))) => version + 1,
+            _ => 0,
+        };
+        self.orders.values().map(stamp).max().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/sounding/src/world.rs
@@ -0,0 +1,429 @@
+//! The made-up world: words take a while, get lost, come late or twice; links are cut one way; gateways freeze, die and
+//! start anew; clocks run apart; disks are slow, hang, and lose with a crash what was not synced. Owns made-up time and
+//! what is on its way. Must never do for a gateway what its program (`harbourmaster::port`) does not do.
+
+use crate::checks::Checks;
+use crate::disk::{Disk, Kept};
+use harbour::control::{Control, Start};
+use harbour::{Act, Outcome};
+use signal::{Keeper, Muster, Node, Register, Word};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+/// Between two ticks, as in the program.
+const TICK: f64 = 0.05;
+/// What a link that is held up keeps; later words are lost.
+const HELD_UP: usize = 256;
+
+/// How words travel.
+#[derive(Clone, Copy, Debug)]
+pub struct Net {
+    /// Seconds that each word takes at least, and by chance longer.
+    pub least: f64,
+    pub spread: f64,
+    /// Parts of words that are lost, come twice, or come late by up to `late_by` seconds.
+    pub lossy: f64,
+    pub doubled: f64,
+    pub late: f64,
+    pub late_by: f64,
+}
+
+impl Default for Net {
+    fn default() -> Net {
+        Net { least: 0.002, spread: 0.02, lossy: 0.0, doubled: 0.0, late: 0.0, late_by: 0.0 }
+    }
+}
+
+/// A machine's steady clock: `ahead + rate * now`.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    rate: f64,
+    ahead: f64,
+}
+
+pub(crate) enum Event {
+    Word(Node, Node, Word),
+    Tick(Node, u64),
+    Written(Node, u64),
+    Start(Node, bool),
+}
+
+struct Due {
+    at: f64,
+    serial: u64,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Due) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    /// The earliest is the greatest.
+    fn cmp(&self, other: &Due) -> Ordering {
+        other.at.total_cmp(&self.at).then(other.serial.cmp(&self.serial))
+    }
+}
+
+/// All control gateways, numbered from 1, and what is between them.
+pub struct Fleet {
+    /// Made-up time; each gateway reads it through `clock`.
+    pub now: f64,
+    pub live: BTreeMap<Node, Control>,
+    pub disks: BTreeMap<Node, Disk>,
+    pub net: Net,
+    /// What became of orders, by token; those of a gateway that died are unclear.
+    pub done: BTreeMap<u64, Outcome>,
+    pub checks: Checks,
+    /// What first went against a check. While `strict` is set, `run` panics with it.
+    pub fault: Option<String>,
+    pub strict: bool,
+    /// What happened, line by line, where it is asked for.
+    pub story: Option<Vec<String>>,
+    /// Steps of cores so far.
+    pub steps: u64,
+    size: Node,
+    needed: usize,
+    seeds: Vec<Node>,
+    chance: oorandom::Rand64,
+    pub(crate) lives: BTreeMap<Node, u64>,
+    paces: BTreeMap<Node, Pace>,
+    frozen: BTreeMap<Node, f64>,
+    cuts: BTreeMap<(Node, Node), f64>,
+    stalls: BTreeMap<(Node, Node), (f64, usize)>,
+    queue: BinaryHeap<Due>,
+    serial: u64,
+}
+
+fn keeper(node: Node) -> Keeper {
+    let control = std::net::SocketAddrV4::new(node.into(), 80);
+    Keeper { node, zone: format!("z{node}"), region: "r".into(), control }
+}
+
+impl Fleet {
+    /// Four gateways, the first three of which are the seeds; one disk may be lost at a time.
+    pub fn new(seed: u64) -> Fleet {
+        Fleet::of(seed, 3, 4)
+    }
+
+    /// `size` gateways of which `needed` are to vote, at their very first start; the seeds are 1, 2 and 3.
+    pub fn of(seed: u64, needed: usize, size: Node) -> Fleet {
+        let mut fleet = Fleet::empty(seed, needed, size);
+        (1..=size).for_each(|node| fleet.start(node, true));
+        fleet
+    }
+
+    /// The same before anything is started.
+    pub fn empty(seed: u64, needed: usize, size: Node) -> Fleet {
+        Fleet {
+            now: 10.0,
+            live: BTreeMap::new(),
+            disks: (1..=size).map(|node| (node, Disk::default())).collect(),
+            net: Net::default(),
+            done: BTreeMap::new(),
+            checks: Checks::default(),
+            fault: None,
+            strict: true,
+            story: None,
+            steps: 0,
+            size,
+            needed,
+            seeds: vec![1, 2, 3],
+            chance: oorandom::Rand64::new(u128::from(seed)),
+            lives: BTreeMap::new(),
+            paces: BTreeMap::new(),
+            frozen: BTreeMap::new(),
+            cuts: BTreeMap::new(),
+            stalls: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            serial: 0,
+        }
+    }
+
+    pub fn nodes(&self) -> std::ops::RangeInclusive<Node> {
+        1..=self.size
+    }
+
+    /// What the clock of that gateway's machine shows.
+    pub fn clock(&self, node: Node) -> f64 {
+        self.clock_at(node, self.now)
+    }
+
+    fn clock_at(&self, node: Node, at: f64) -> f64 {
+        self.paces.get(&node).map_or(at, |pace| pace.ahead + pace.rate * at)
+    }
+
+    /// The clock of a machine that is not up goes at that rate from here on, and shows something of its own.
+    pub fn set_clock(&mut self, node: Node, rate: f64, shows: f64) {
+        self.paces.insert(node, Pace { rate, ahead: shows - rate * self.now });
+    }
+
+    pub(crate) fn tell(&mut self, line: impl FnOnce(&Fleet) -> String) {
+        if self.story.is_some() {
+            let line = format!("{:9.3} {}", self.now, line(self));
+            self.story.iter_mut().for_each(|story| story.push(line.clone()));
+        }
+    }
+
+    fn hold(&mut self, checked: Result<(), String>) {
+        if let Err(fault) = checked {
+            self.tell(|_| format!("FAULT {fault}"));
+            self.fault.get_or_insert(format!("at {:.3}: {fault}", self.now));
+        }
+    }
+
+    pub(crate) fn push(&mut self, at: f64, event: Event) {
+        self.serial += 1;
+        self.queue.push(Due { at, serial: self.serial, event });
+    }
+
+    /// Starts a gateway on what its disk has; `first` at the very first start, when an empty disk stands for the seeds.
+    pub fn start(&mut self, node: Node, first: bool) {
+        let Some(disk) = self.disks.get_mut(&node).filter(|_| !self.live.contains_key(&node)) else { return };
+        if disk.hangs_until > self.now {
+            let until = disk.hangs_until;
+            return self.push(until, Event::Start(node, first));
+        }
+        // The seeds are on the disk before anything else is done.
+        if first && !disk.kept.muster.known() {
+            disk.kept.muster = Muster::first(&self.seeds);
+        }
+        let kept = disk.kept.clone();
+        let start = Start {
+            keeper: keeper(node),
+            needed: self.needed,
+            slots: kept.muster.known().then_some(kept.slots),
+            muster: kept.muster,
+            posts: kept.posts.into_values().collect(),
+            seed: self.chance.rand_u64(),
+        };
+        let control = Control::new(self.clock(node), start);
+        self.tell(|_| {
+            format!("{node} starts in epoch {}, whole {}", control.muster().epoch, control.voter.whole())
+        });
+        self.live.insert(node, control);
+        self.frozen.remove(&node);
+        let life = self.lives.entry(node).or_default();
+        *life += 1;
+        let life = *life;
+        let at = self.now + TICK * self.chance.rand_float();
+        self.push(at, Event::Tick(node, life));
+        // Links come up anew, and each end says who it is.
+        for other in self.nodes() {
+            for (from, to) in [(node, other), (other, node)] {
+                if let Some(control) = self.live.get(&from).filter(|_| from != to) {
+                    let greeting = control.greeting();
+                    self.send(from, to, greeting);
+                }
+            }
+        }
+    }
+
+    /// Ends a gateway at once. What its disk was writing is there whole or not at all; what waited is gone, and with `wipe`
+    /// all is. Its open orders are unclear.
+    pub fn kill(&mut self, node: Node, wipe: bool) {
+        let stood = self.live.remove(&node).is_some();
+        let Some(disk) = self.disks.get_mut(&node) else { return };
+        let writing = std::mem::take(&mut disk.writing);
+        disk.waiting.clear();
+        if stood && self.chance.rand_float() < 0.5 {
+            writing.into_iter().for_each(|(record, _)| disk.keep(record));
+        }
+        if wipe {
+            disk.kept = Kept::default();
+        }
+        self.tell(|_| format!("{node} is killed{}", if wipe { " and its disk emptied" } else { "" }));
+        for token in self.checks.open(node) {
+            self.ended(node, token, Outcome::Unclear);
+        }
+    }
+
+    /// The machine goes off as well: its clock begins anew.
+    pub fn power_off(&mut self, node: Node, wipe: bool) {
+        self.kill(node, wipe);
+        let rate = self.paces.get(&node).map_or(1.0, |pace| pace.rate);
+        let shows = 1.0 + self.chance.rand_float();
+        self.set_clock(node, rate, shows);
+    }
+
+    /// A gateway stands still for so long; what is sent to it waits.
+    pub fn freeze(&mut self, node: Node, seconds: f64) {
+        self.tell(|_| format!("{node} stands still for {seconds:.3}"));
+        self.frozen.insert(node, self.now + seconds);
+    }
+
+    /// No word goes that way until `heal`.
+    pub fn cut(&mut self, from: Node, to: Node) {
+        self.cut_for(from, to, f64::INFINITY);
+    }
+
+    pub fn cut_for(&mut self, from: Node, to: Node, seconds: f64) {
+        self.tell(|_| format!("cut {from} -> {to} for {seconds:.3}"));
+        let until = self.now + seconds;
+        self.cuts.entry((from, to)).and_modify(|cut| *cut = cut.max(until)).or_insert(until);
+    }
+
+    /// Words that way wait so long and then come all together, as from a connection that was held up.
+    pub fn stall(&mut self, from: Node, to: Node, seconds: f64) {
+        self.tell(|_| format!("held up {from} -> {to} for {seconds:.3}"));
+        self.stalls.insert((from, to), (self.now + seconds, 0));
+    }
+
+    /// Ends all cuts, freezes and hanging disks, and all that is wrong with words.
+    pub fn heal(&mut self) {
+        self.tell(|_| "all healed".into());
+        self.cuts.clear();
+        self.stalls.clear();
+        self.frozen.clear();
+        self.disks.values_mut().for_each(|disk| disk.hangs_until = 0.0);
+        self.net = Net { lossy: 0.0, doubled: 0.0, late: 0.0, ..self.net };
+    }
+
+    /// Nothing written on that disk ends within so many seconds.
+    pub fn hang(&mut self, node: Node, seconds: f64) {
+        self.tell(|_| format!("disk of {node} hangs for {seconds:.3}"));
+        let until = self.now + seconds;
+        self.disks.entry(node).or_default().hangs_until = until;
+    }
+
+    pub(crate) fn send(&mut self, from: Node, to: Node, word: Word) {
+        if self.cuts.get(&(from, to)).is_some_and(|until| self.now < *until) {
+            return;
+        }
+        let net = self.net;
+        if net.lossy > 0.0 && self.chance.rand_float() < net.lossy {
+            return;
+        }
+        let twice = net.doubled > 0.0 && self.chance.rand_float() < net.doubled;
+        if twice {
+            self.post(from, to, word.clone());
+        }
+        self.post(from, to, word);
+    }
+
+    fn post(&mut self, from: Node, to: Node, word: Word) {
+        let net = self.net;
+        let mut at = self.now + net.least + net.spread * self.chance.rand_float();
+        if net.late > 0.0 && self.chance.rand_float() < net.late {
+            at += net.late_by * self.chance.rand_float();
+        }
+        if let Some((until, held)) = self.stalls.get_mut(&(from, to)).filter(|(until, _)| *until > self.now) {
+            *held += 1;
+            if *held > HELD_UP {
+                return;
+            }
+            at = at.max(*until);
+        }
+        self.push(at, Event::Word(from, to, word));
+    }
+
+    /// One step of a gateway, and all that follows from it as in the program.
+    pub fn step(&mut self, node: Node, step: impl FnOnce(&mut Control, f64) -> Vec<Act>) {
+        let now = self.clock(node);
+        let Some(control) = self.live.get_mut(&node) else { return };
+        self.steps += 1;
+        let mut acts = VecDeque::from(step(control, now));
+        while let Some(act) = acts.pop_front() {
+            match act {
+                Act::Send(to, word) if to == node => {
+                    acts.extend(
+                        self.live.get_mut(&node).map(|c| c.hear(now, node, word)).unwrap_or_default(),
+                    );
+                }
+                Act::Send(to, word) => self.send(node, to, word),
+                Act::Store(record, then) => self.store(node, record, then),
+                Act::Learned(register) => {
+                    self.tell(|fleet| fleet.learned_line(node, register));
+                    acts.extend(self.live.get_mut(&node).map(|c| c.beat_all(now)).unwrap_or_default());
+                }
+                Act::Done(token, outcome) => {
+                    self.look(node);
+                    self.ended(node, token, outcome);
+                }
+            }
+        }
+        self.look(node);
+    }
+
+    fn learned_line(&self, node: Node, register: Register) -> String {
+        let held = self.live[&node].helm.chosen(register);
+        format!("{node} learns {register:?} {held:?}")
+    }
+
+    pub(crate) fn ended(&mut self, node: Node, token: u64, outcome: Outcome) {
+        self.tell(|_| format!("order {token} at {node}: {outcome:?}"));
+        self.done.insert(token, outcome);
+        let chosen = self.live.get(&node).map(|control| &control.helm);
+        let checked = self.checks.ended(self.now, token, outcome, chosen);
+        self.hold(checked);
+    }
+
+    /// What must hold, after a step of that gateway.
+    fn look(&mut self, node: Node) {
+        let Some(control) = self.live.get(&node) else { return };
+        let pace = self.paces.get(&node).copied().unwrap_or(Pace { rate: 1.0, ahead: 0.0 });
+        let of_clock = |at: f64| (at - pace.ahead) / pace.rate;
+        let mut checked = self.checks.looked(self.now, node, self.lives[&node], control, of_clock);
+        for duty in signal::DUTIES {
+            if checked.is_ok() && control.duties.holds(self.clock(node), duty).is_some() {
+                let holds = |(n, c): &(&Node, &Control)| c.duties.holds(self.clock(**n), duty).is_some();
+                let holders: Vec<Node> = self.live.iter().filter(holds).map(|(n, _)| *n).collect();
+                if holders.len() > 1 {
+                    checked = Err(format!("{duty:?} is held by {holders:?}"));
+                }
+            }
+        }
+        if checked.is_err() {
+            self.hold(checked);
+        }
+    }
+
+    /// Lets so much made-up time go by.
+    pub fn run(&mut self, seconds: f64) {
+        let until = self.now + seconds;
+        while self.fault.is_none() && self.queue.peek().is_some_and(|due| due.at <= until) {
+            let Some(Due { at, event, .. }) = self.queue.pop() else { break };
+            self.now = self.now.max(at);
+            self.happen(event);
+        }
+        if let Some(fault) = self.fault.as_ref().filter(|_| self.strict) {
+            panic!("{fault}");
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, event: Event) {
+        let whose = match &event {
+            Event::Word(_, to, _) => *to,
+            Event::Tick(node, _) | Event::Written(node, _) | Event::Start(node, _) => *node,
+        };
+        if let Some(&until) = self.frozen.get(&whose).filter(|until| **until > self.now) {
+            return self.push(until, event);
+        }
+        let lives = |life: u64| self.live.contains_key(&whose) && self.lives.get(&whose) == Some(&life);
+        match event {
+            Event::Word(from, to, word) => self.step(to, |control, now| control.hear(now, from, word)),
+            Event::Tick(node, life) if lives(life) => {
+                let rate = self.paces.get(&node).map_or(1.0, |pace| pace.rate);
+                self.push(self.now + TICK / rate, event);
+                self.step(node, |control, now| control.tick(now));
+            }
+            Event::Written(node, life) if lives(life) => match self.disks[&node].hangs_until {
+                until if until > self.now => self.push(until, event),
+                _ => self.written(node),
+            },
+            Event::Start(node, first) => self.start(node, first),
+            Event::Tick(..) | Event::Written(..) => {}
+        }
+    }
+}
