--- a/sounding/src/lib.rs
+++ b/sounding/src/lib.rs
@@ -6,7 +6,36 @@
 pub mod checks;
 pub mod disk;
 mod orders;
+pub mod plan;
+pub mod play;
+pub mod shrink;
 pub mod world;
 
 pub use checks::Order;
+pub use plan::{Plan, Size};
+pub use play::play;
+use std::fmt;
 pub use world::Fleet;
+
+/// Why nothing is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoundingError {
+    /// A plan's file can't be read, or is no plan.
+    Plan,
+    /// The command line asks for something that is not there.
+    Asked,
+    /// Plays ended with a fault.
+    Fault,
+}
+
+impl fmt::Display for SoundingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            SoundingError::Plan => "the plan can't be read",
+            SoundingError::Asked => "the command can't be followed",
+            SoundingError::Fault => "something did not hold",
+        })
+    }
+}
+
+impl std::error::Error for SoundingError {}
--- a/sounding/src/orders.rs
+++ b/sounding/src/orders.rs
@@ -38,6 +38,11 @@
         self.order(node, token, Order::Reseat(reseat));
     }
 
+    /// A reader asks a gateway for what is confirmed from now on.
+    pub fn read(&mut self, node: Node) {
+        self.step(node, |control, now| control.helm.ask_now(now));
+    }
+
     /// The caller of an order is gone.
     pub fn withdraw(&mut self, node: Node, token: u64) {
         if let Some(control) = self.live.get_mut(&node).filter(|_| self.checks.is_open(token)) {
--- /dev/null
+++ b/sounding/src/plan.rs
@@ -0,0 +1,283 @@
+//! Plans: what befalls a fleet, step by step, drawn from a seed and written as text so that a found fault can be kept. Owns
+//! the steps and how they are drawn. Must never depend on anything but the seed and the size.
+
+use crate::SoundingError;
+use error_stack::{Report, ResultExt};
+use serde::{Deserialize, Serialize};
+use signal::Node;
+
+/// Most steps of a drawn plan, and fewest.
+const STEPS: (u64, u64) = (4, 28);
+/// Most seconds of a cut, and of a machine that is off.
+const LONGEST: f64 = 60.0;
+/// Clocks of two machines run apart by less than this part; real ones by a thousandth of that.
+const APART: f64 = 0.02;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Size {
+    /// Four gateways, three of which vote; one disk is lost at a time.
+    Small,
+    /// Six and five, and two.
+    Grown,
+}
+
+impl Size {
+    pub fn gateways(self) -> Node {
+        match self {
+            Size::Small => 4,
+            Size::Grown => 6,
+        }
+    }
+
+    /// Disks that may be lost at once.
+    pub fn losses(self) -> usize {
+        match self {
+            Size::Small => 1,
+            Size::Grown => 2,
+        }
+    }
+
+    /// Seats that are needed for that.
+    pub fn needed(self) -> usize {
+        2 * self.losses() + 1
+    }
+}
+
+/// Lengths in seconds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Step {
+    /// A configuration numbered so far above the highest ordered before; its caller waits that long.
+    Chart {
+        node: Node,
+        above: i8,
+        patience: f64,
+    },
+    /// Two texts under one number through two gateways.
+    Race {
+        nodes: (Node, Node),
+        gap: f64,
+    },
+    Zone {
+        node: Node,
+        zone: u8,
+        on: bool,
+        patience: f64,
+    },
+    /// The second takes the seat of the first.
+    Reseat {
+        node: Node,
+        old: Node,
+        new: Node,
+    },
+    /// Reads through a gateway, so far apart.
+    Reads {
+        node: Node,
+        every: f64,
+        seconds: f64,
+    },
+    Cut {
+        from: Node,
+        to: Node,
+        seconds: f64,
+    },
+    /// All ways to and from one.
+    Isolate {
+        node: Node,
+        seconds: f64,
+    },
+    /// All ways between those with a bit and those without.
+    Split {
+        bits: u8,
+        seconds: f64,
+    },
+    /// One way comes and goes.
+    Flap {
+        from: Node,
+        to: Node,
+        period: f64,
+        times: u8,
+    },
+    /// Words wait and come all together.
+    Stall {
+        from: Node,
+        to: Node,
+        seconds: f64,
+    },
+    Noise {
+        lossy: f64,
+        doubled: f64,
+        late: f64,
+        late_by: f64,
+        seconds: f64,
+    },
+    Freeze {
+        node: Node,
+        seconds: f64,
+    },
+    Kill {
+        node: Node,
+        down: f64,
+    },
+    Power {
+        node: Node,
+        down: f64,
+    },
+    /// Machine and disk are lost, and an empty one comes back; left out where too many are lost already.
+    Wipe {
+        node: Node,
+        down: f64,
+    },
+    KillAll {
+        down: f64,
+    },
+    PowerAll {
+        down: f64,
+    },
+    /// Each leaves in order and starts anew, one after the other.
+    Roll {
+        gap: f64,
+    },
+    Slow {
+        node: Node,
+        sync: f64,
+        seconds: f64,
+    },
+    Hang {
+        node: Node,
+        seconds: f64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    pub seed: u64,
+    pub size: Size,
+    /// How fast each machine's clock goes, from the first on.
+    pub rates: Vec<f64>,
+    /// Seconds that a sync takes on each machine's disk.
+    pub syncs: Vec<f64>,
+    /// Steps, and how long after the one before.
+    pub steps: Vec<(f64, Step)>,
+}
+
+struct Draw(oorandom::Rand64);
+
+impl Draw {
+    fn chance(&mut self, part: f64) -> bool {
+        self.0.rand_float() < part
+    }
+
+    fn below(&mut self, most: u64) -> u64 {
+        self.0.rand_range(0..most)
+    }
+
+    fn between(&mut self, least: f64, most: f64) -> f64 {
+        least + (most - least) * self.0.rand_float()
+    }
+
+    /// Short ones as often as long ones.
+    fn length(&mut self, least: f64, most: f64) -> f64 {
+        // Three places are enough and are read by people.
+        let drawn = least * (most / least).powf(self.0.rand_float());
+        (drawn * 1e3).round() / 1e3
+    }
+
+    fn node(&mut self, size: Size) -> Node {
+        self.below(u64::from(size.gateways())) as Node + 1
+    }
+
+    fn two(&mut self, size: Size) -> (Node, Node) {
+        let first = self.node(size);
+        let gateways = size.gateways();
+        let on = 1 + self.below(u64::from(gateways) - 1) as Node;
+        (first, (first - 1 + on) % gateways + 1)
+    }
+
+    fn wait(&mut self) -> f64 {
+        match self.below(10) {
+            0..4 => self.length(0.001, 0.1),
+            4..7 => self.length(0.05, 1.0),
+            7..9 => self.length(0.3, 4.0),
+            _ => self.length(2.0, 30.0),
+        }
+    }
+
+    fn patience(&mut self) -> f64 {
+        if self.chance(0.3) { self.length(0.01, 1.0) } else { 2.0 }
+    }
+
+    fn step(&mut self, size: Size) -> Step {
+        let node = self.node(size);
+        let (from, to) = self.two(size);
+        match self.below(100) {
+            0..16 => Step::Chart { node, above: self.below(4) as i8 - 1, patience: self.patience() },
+            16..22 => Step::Race { nodes: (from, to), gap: self.length(0.001, 0.5) },
+            22..30 => {
+                let (zone, on) = (self.below(2) as u8, self.chance(0.5));
+                Step::Zone { node, zone, on, patience: self.patience() }
+            }
+            30..38 => Step::Reseat { node, old: from, new: to },
+            38..41 => Step::Reads { node, every: self.length(0.002, 0.3), seconds: self.length(0.2, 5.0) },
+            41..47 => Step::Cut { from, to, seconds: self.length(0.1, LONGEST) },
+            47..51 => Step::Isolate { node, seconds: self.length(0.1, LONGEST) },
+            51..54 => {
+                let bits = 1 + self.below((1 << size.gateways()) - 2) as u8;
+                Step::Split { bits, seconds: self.length(0.1, LONGEST) }
+            }
+            54..56 => {
+                Step::Flap { from, to, period: self.length(0.05, 4.0), times: 1 + self.below(12) as u8 }
+            }
+            56..60 => Step::Stall { from, to, seconds: self.length(0.1, 20.0) },
+            60..64 => Step::Noise {
+                lossy: self.length(0.001, 0.3),
+                doubled: self.length(0.001, 0.5),
+                late: self.length(0.001, 0.2),
+                late_by: self.length(0.05, 20.0),
+                seconds: self.length(0.2, 20.0),
+            },
+            64..71 => Step::Freeze { node, seconds: self.length(0.05, 12.0) },
+            71..76 => Step::Kill { node, down: self.length(0.01, 10.0) },
+            76..80 => Step::Power { node, down: self.length(0.1, LONGEST) },
+            80..87 => Step::Wipe { node, down: self.length(0.05, 10.0) },
+            87..89 => Step::KillAll { down: self.length(0.01, 2.0) },
+            89..91 => Step::PowerAll { down: self.length(0.1, 5.0) },
+            91..93 => Step::Roll { gap: self.length(0.02, 2.0) },
+            93..96 => Step::Slow { node, sync: self.length(0.005, 0.3), seconds: self.length(0.3, 30.0) },
+            _ => Step::Hang { node, seconds: self.length(0.1, 20.0) },
+        }
+    }
+}
+
+impl Plan {
+    /// The plan of a seed.
+    pub fn drawn(seed: u64, size: Size) -> Plan {
+        let mut draw = Draw(oorandom::Rand64::new(u128::from(seed) << 8 | size.losses() as u128));
+        let apart = if draw.chance(0.5) { APART } else { 0.0 };
+        let slow = if draw.chance(0.5) { 0.02 } else { 0.0 };
+        let rates = (0..size.gateways()).map(|_| draw.between(1.0 - apart, 1.0 + apart)).collect();
+        let syncs = (0..size.gateways()).map(|_| draw.between(0.0, slow)).collect();
+        let count = STEPS.0 + draw.below(STEPS.1 - STEPS.0);
+        let steps = (0..count).map(|_| (draw.wait(), draw.step(size))).collect();
+        Plan { seed, size, rates, syncs, steps }
+    }
+
+    /// A plan as `text` gave it; an error names the place where it can't be read.
+    pub fn read(text: &str) -> Result<Plan, Report<SoundingError>> {
+        serde_json::from_str(text).change_context(SoundingError::Plan)
+    }
+
+    /// One step a line.
+    pub fn text(&self) -> String {
+        let json = |value: Result<String, serde_json::Error>| value.unwrap_or_default();
+        let steps: Vec<String> =
+            self.steps.iter().map(|step| format!("  {}", json(serde_json::to_string(step)))).collect();
+        format!(
+            "{{\"seed\": {}, \"size\": {}, \"rates\": {}, \"syncs\": {}, \"steps\": [\n{}\n]}}\n",
+            self.seed,
+            json(serde_json::to_string(&self.size)),
+            json(serde_json::to_string(&self.rates)),
+            json(serde_json::to_string(&self.syncs)),
+            steps.join(",\n")
+        )
+    }
+}
--- /dev/null
+++ b/sounding/src/play.rs
@@ -0,0 +1,373 @@
+//! Plays a plan to its end: the steps at their time, what ends a step later, then a quiet time in which everything must come
+//! right. Owns what a fleet is asked to bear: no more disks lost at once than it is for. Must never ask for more.
+
+use crate::checks::Order;
+use crate::plan::{Plan, Size, Step};
+use crate::world::{Fleet, Net};
+use harbour::{Outcome, Reseat};
+use signal::{DUTIES, Node, Register, evacuated};
+use std::collections::BTreeMap;
+
+/// A lost disk counts until the gateway was back, and nothing else was wrong, for so long.
+const CATCH_UP: f64 = 8.0;
+/// After the last trouble, until everything has to be right.
+const QUIET: f64 = 10.0;
+/// An order in quiet times is acknowledged within this.
+const ORDER: f64 = 2.0;
+/// A process that is told to leave has so long, as in the program.
+const LEAVES: f64 = 0.5;
+
+/// What is still to come of earlier steps.
+#[derive(Clone, Debug)]
+enum Later {
+    Start(Node),
+    Leave(Node),
+    Kill(Node, f64),
+    Cut(Node, Node, f64),
+    Sync(Node, f64),
+    Net(Net),
+    Read(Node, f64, f64),
+    Withdraw(Node, u64),
+    Race(Node, u64),
+}
+
+/// How a plan ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Played {
+    pub fault: Option<String>,
+    /// Made-up seconds, and steps of cores.
+    pub seconds: f64,
+    pub steps: u64,
+    pub story: Vec<String>,
+}
+
+struct Play {
+    fleet: Fleet,
+    later: Vec<(f64, Later)>,
+    size: Size,
+    tokens: u64,
+    version: u64,
+    /// Gateways whose disk was lost, and since when nothing was wrong.
+    lost: BTreeMap<Node, f64>,
+    trouble_until: f64,
+}
+
+/// Plays a plan; with `story` every step is told.
+pub fn play(plan: &Plan, story: bool) -> Played {
+    let size = plan.size;
+    let mut fleet = Fleet::empty(plan.seed, size.needed(), size.gateways());
+    fleet.strict = false;
+    fleet.story = story.then(Vec::new);
+    for node in fleet.nodes() {
+        let n = node as usize - 1;
+        let shows = 5.0 + 1000.0 * f64::from(node);
+        fleet.set_clock(node, plan.rates.get(n).copied().unwrap_or(1.0), shows);
+        fleet.set_sync(node, plan.syncs.get(n).copied().unwrap_or(0.0));
+    }
+    for node in fleet.nodes() {
+        fleet.start(node, true);
+    }
+    let mut play = Play {
+        fleet,
+        later: Vec::new(),
+        size,
+        tokens: 0,
+        version: 0,
+        lost: BTreeMap::new(),
+        trouble_until: 0.0,
+    };
+    play.run(1.0);
+    for (wait, step) in &plan.steps {
+        play.run(*wait);
+        if play.fleet.fault.is_some() {
+            break;
+        }
+        play.step(step);
+    }
+    if play.fleet.fault.is_none() {
+        play.quiet(plan);
+    }
+    let fault = play.fleet.fault.take();
+    let story = play.fleet.story.take().unwrap_or_default();
+    Played { fault, seconds: play.fleet.now, steps: play.fleet.steps, story }
+}
+
+impl Play {
+    /// Lets time go by, and does what comes due.
+    fn run(&mut self, seconds: f64) {
+        let until = self.fleet.now + seconds;
+        loop {
+            let due = self.later.iter().enumerate().min_by(|a, b| a.1.0.total_cmp(&b.1.0));
+            let Some(n) = due.filter(|(_, (at, _))| *at <= until).map(|(n, _)| n) else { break };
+            let (at, later) = self.later.remove(n);
+            self.fleet.run((at - self.fleet.now).max(0.0));
+            self.come(later);
+            if self.fleet.fault.is_some() {
+                return;
+            }
+        }
+        self.fleet.run((until - self.fleet.now).max(0.0));
+    }
+
+    fn later(&mut self, after: f64, later: Later) {
+        self.later.push((self.fleet.now + after, later));
+    }
+
+    fn come(&mut self, later: Later) {
+        match later {
+            Later::Start(node) => self.fleet.start(node, false),
+            Later::Leave(node) => self.fleet.step(node, |control, now| control.leave(now)),
+            Later::Kill(node, down) => {
+                self.fleet.kill(node, false);
+                self.later(down, Later::Start(node));
+            }
+            Later::Cut(from, to, seconds) => self.fleet.cut_for(from, to, seconds),
+            Later::Sync(node, sync) => self.fleet.set_sync(node, sync),
+            Later::Net(net) => self.fleet.net = net,
+            Later::Read(node, every, until) => {
+                self.fleet.read(node);
+                if self.fleet.now + every < until {
+                    self.later(every, Later::Read(node, every, until));
+                }
+            }
+            Later::Withdraw(node, token) => self.fleet.withdraw(node, token),
+            Later::Race(node, version) => drop(self.chart(node, version, 2.0)),
+        }
+    }
+
+    /// Something is wrong for so long.
+    fn trouble(&mut self, seconds: f64) {
+        self.trouble_until = self.trouble_until.max(self.fleet.now + seconds);
+        // Who is not back for good yet has the whole time before it.
+        let until = self.trouble_until;
+        self.lost.values_mut().for_each(|since| *since = since.max(until));
+    }
+
+    fn token(&mut self) -> u64 {
+        self.tokens += 1;
+        self.tokens
+    }
+
+    fn chart(&mut self, node: Node, version: u64, patience: f64) -> u64 {
+        let token = self.token();
+        self.fleet.replace(node, token, version);
+        self.later(patience, Later::Withdraw(node, token));
+        token
+    }
+
+    /// Is there room for one more lost disk?
+    fn may_lose(&mut self, node: Node) -> bool {
+        let now = self.fleet.now;
+        self.lost.retain(|_, since| now < *since + CATCH_UP);
+        self.lost.contains_key(&node) || self.lost.len() < self.size.losses()
+    }
+
+    fn step(&mut self, step: &Step) {
+        let fleet = &mut self.fleet;
+        match *step {
+            Step::Chart { node, above, patience } => {
+                let version = self.version.saturating_add_signed(above.into()).max(1);
+                self.version = self.version.max(version);
+                self.chart(node, version, patience);
+            }
+            Step::Race { nodes: (one, other), gap } => {
+                self.version += 1;
+                let version = self.version;
+                self.chart(one, version, 2.0);
+                self.later(gap, Later::Race(other, version));
+            }
+            Step::Zone { node, zone, on, patience } => {
+                let token = self.token();
+                self.fleet.evacuate(node, token, &format!("zone{zone}"), on);
+                self.later(patience, Later::Withdraw(node, token));
+            }
+            Step::Reseat { node, old, new } => {
+                let token = self.token();
+                self.fleet.reseat(node, token, Reseat::Replace { old, new });
+            }
+            Step::Reads { node, every, seconds } => {
+                let until = fleet.now + seconds;
+                self.come(Later::Read(node, every, until));
+            }
+            Step::Cut { from, to, seconds } => {
+                fleet.cut_for(from, to, seconds);
+                self.trouble(seconds);
+            }
+            Step::Isolate { node, seconds } => {
+                for other in fleet.nodes() {
+                    fleet.cut_for(node, other, seconds);
+                    fleet.cut_for(other, node, seconds);
+                }
+                self.trouble(seconds);
+            }
+            Step::Split { bits, seconds } => {
+                let side = |node: Node| bits >> (node - 1) & 1;
+                for from in fleet.nodes() {
+                    for to in fleet.nodes().filter(|&to| side(from) != side(to)) {
+                        fleet.cut_for(from, to, seconds);
+                    }
+                }
+                self.trouble(seconds);
+            }
+            Step::Flap { from, to, period, times } => {
+                for n in 0..times {
+                    self.later(2.0 * period * f64::from(n), Later::Cut(from, to, period));
+                }
+                self.trouble(2.0 * period * f64::from(times));
+            }
+            Step::Stall { from, to, seconds } => {
+                fleet.stall(from, to, seconds);
+                self.trouble(seconds);
+            }
+            Step::Noise { lossy, doubled, late, late_by, seconds } => {
+                fleet.net = Net { lossy, doubled, late, late_by, ..fleet.net };
+                self.later(seconds, Later::Net(Net::default()));
+                self.trouble(seconds);
+            }
+            Step::Freeze { node, seconds } => {
+                fleet.freeze(node, seconds);
+                self.trouble(seconds);
+            }
+            Step::Kill { node, down } => {
+                fleet.kill(node, false);
+                self.later(down, Later::Start(node));
+                self.trouble(down);
+            }
+            Step::Power { node, down } => {
+                fleet.power_off(node, false);
+                self.later(down, Later::Start(node));
+                self.trouble(down);
+            }
+            Step::Wipe { node, down } => {
+                if self.may_lose(node) {
+                    self.fleet.power_off(node, true);
+                    self.later(down, Later::Start(node));
+                    self.trouble(down);
+                    self.lost.insert(node, self.trouble_until);
+                }
+            }
+            Step::KillAll { down } => self.all(down, Fleet::kill),
+            Step::PowerAll { down } => self.all(down, Fleet::power_off),
+            Step::Roll { gap } => {
+                let nodes: Vec<Node> = fleet.nodes().collect();
+                for (n, &node) in nodes.iter().enumerate() {
+                    let at = n as f64 * (gap + LEAVES);
+                    self.later(at, Later::Leave(node));
+                    self.later(at + LEAVES, Later::Kill(node, gap));
+                }
+                self.trouble(nodes.len() as f64 * (gap + LEAVES));
+            }
+            Step::Slow { node, sync, seconds } => {
+                let before = fleet.disks[&node].sync;
+                fleet.set_sync(node, sync);
+                self.later(seconds, Later::Sync(node, before));
+                self.trouble(seconds);
+            }
+            Step::Hang { node, seconds } => {
+                fleet.hang(node, seconds);
+                self.trouble(seconds);
+            }
+        }
+    }
+
+    fn all(&mut self, down: f64, end: impl Fn(&mut Fleet, Node, bool)) {
+        for node in self.fleet.nodes() {
+            end(&mut self.fleet, node, false);
+            self.later(down, Later::Start(node));
+        }
+        self.trouble(down);
+    }
+
+    /// Everything is well again from here on, and must come right.
+    fn quiet(&mut self, plan: &Plan) {
+        self.later.retain(|(_, later)| matches!(later, Later::Withdraw(..)));
+        self.fleet.heal();
+        for node in self.fleet.nodes() {
+            self.fleet.set_sync(node, plan.syncs.get(node as usize - 1).copied().unwrap_or(0.0));
+            self.fleet.start(node, false);
+        }
+        self.run(QUIET);
+        if self.fleet.fault.is_none() {
+            let right = self.right();
+            self.fleet.hold(right);
+        }
+        // Each gateway takes an order, one after the other.
+        for node in self.fleet.nodes() {
+            self.version += 1;
+            let token = self.chart(node, self.version, ORDER);
+            self.run(ORDER);
+            let outcome = self.fleet.done.get(&token).copied();
+            if outcome != Some(Outcome::Chosen) {
+                let nothing = format!("order {token} at {node} in quiet times: {outcome:?}");
+                self.fleet.hold(Err(nothing));
+            }
+        }
+        if self.fleet.fault.is_none() {
+            let right = self.right();
+            self.fleet.hold(right);
+        }
+    }
+
+    /// Is everything as it has to be in quiet times?
+    fn right(&self) -> Result<(), String> {
+        let fleet = &self.fleet;
+        let newest = fleet.checks.acknowledged();
+        let known = fleet.live.values().next().map(|control| control.muster().clone()).unwrap_or_default();
+        for (node, control) in &fleet.live {
+            let stamp = control.helm.chosen(Register::Chart).map_or(0, |held| held.stamp);
+            if stamp < newest {
+                return Err(format!("{node} holds {stamp}, {newest} was acknowledged"));
+            }
+            for register in signal::REGISTERS {
+                let value = control.helm.chosen(register).map(|held| &held.value);
+                let last = fleet.checks.lines.get(&register).and_then(|line| line.last());
+                if value != last.map(|seen| &seen.value) {
+                    return Err(format!("{node} has {register:?} {value:?}, {last:?} is the last"));
+                }
+                let lately = control.helm.confirmed(register).is_some_and(|at| at > fleet.clock(*node) - 1.5);
+                if !lately {
+                    return Err(format!("{node} has {register:?} not confirmed lately"));
+                }
+            }
+            let muster = control.muster();
+            if *muster != known || muster.changing() {
+                return Err(format!("{node} goes by {muster:?}, another by {known:?}"));
+            }
+            if muster.votes(*node) && !control.voter.whole() {
+                return Err(format!("{node} votes and is not whole"));
+            }
+        }
+        for duty in DUTIES {
+            let agreed = fleet.agreed(duty);
+            if agreed.is_none() || agreed != fleet.holder(duty) {
+                return Err(format!("{duty:?} is held by {:?}, {agreed:?} is known", fleet.holder(duty)));
+            }
+        }
+        self.zones()
+    }
+
+    /// An acknowledged order on a zone, after the end of which none was open, is what stands.
+    fn zones(&self) -> Result<(), String> {
+        let line = self.fleet.checks.lines.get(&Register::Evacuations);
+        let stands = line.and_then(|line| line.last()).map(|seen| evacuated(&seen.value)).unwrap_or_default();
+        let mut last: BTreeMap<&str, (f64, f64, bool)> = BTreeMap::new();
+        for given in self.fleet.checks.orders.values() {
+            let (Order::Zone { zone, on }, Some((end, outcome))) = (&given.order, given.ended) else {
+                continue;
+            };
+            let (begin, alone) = (given.at, outcome == Outcome::Chosen);
+            let before = last.get(zone.as_str()).copied();
+            // Of orders that overlap, or whose end is not known, either may be last.
+            let sure = alone && before.is_none_or(|(ended, _, _)| ended < begin);
+            let until = end.max(before.map_or(end, |(ended, _, _)| ended));
+            let settled = if sure { begin } else { f64::INFINITY };
+            last.insert(zone, (until, settled, *on));
+        }
+        for (zone, (_, settled, on)) in last {
+            if settled.is_finite() && stands.contains(zone) != on {
+                return Err(format!("{zone} was last ordered {on} and acknowledged, it is {stands:?}"));
+            }
+        }
+        Ok(())
+    }
+}
--- a/sounding/src/world.rs
+++ b/sounding/src/world.rs
@@ -175,7 +175,7 @@
         }
     }
 
-    fn hold(&mut self, checked: Result<(), String>) {
+    pub(crate) fn hold(&mut self, checked: Result<(), String>) {
         if let Err(fault) = checked {
             self.tell(|_| format!("FAULT {fault}"));
             self.fault.get_or_insert(format!("at {:.3}: {fault}", self.now));
@@ -282,13 +282,32 @@
     /// Ends all cuts, freezes and hanging disks, and all that is wrong with words.
     pub fn heal(&mut self) {
         self.tell(|_| "all healed".into());
+        let (now, frozen) = (self.now, std::mem::take(&mut self.frozen));
+        let stalls = std::mem::take(&mut self.stalls);
         self.cuts.clear();
-        self.stalls.clear();
-        self.frozen.clear();
+        // What only waited for the end of these comes now.
+        let mut queue = std::mem::take(&mut self.queue).into_vec();
+        for due in &mut queue {
+            let waits = match &due.event {
+                Event::Word(from, to, _) => {
+                    frozen.get(to) == Some(&due.at)
+                        || stalls.get(&(*from, *to)).is_some_and(|s| s.0 == due.at)
+                }
+                Event::Tick(node, _) => frozen.get(node) == Some(&due.at),
+                Event::Written(..) | Event::Start(..) => true,
+            };
+            due.at = if waits { now.min(due.at) } else { due.at };
+        }
+        self.queue = queue.into();
         self.disks.values_mut().for_each(|disk| disk.hangs_until = 0.0);
         self.net = Net { lossy: 0.0, doubled: 0.0, late: 0.0, ..self.net };
     }
 
+    /// A sync on that disk takes so long from here on.
+    pub fn set_sync(&mut self, node: Node, seconds: f64) {
+        self.disks.entry(node).or_default().sync = seconds;
+    }
+
     /// Nothing written on that disk ends within so many seconds.
     pub fn hang(&mut self, node: Node, seconds: f64) {
         self.tell(|_| format!("disk of {node} hangs for {seconds:.3}"));
