--- a/fairway/src/plain.rs
+++ b/fairway/src/plain.rs
@@ -111,12 +111,13 @@
     room: Rc<Cell<usize>>,
     head: Option<(Request, Length)>,
     failed: bool,
+    full: bool,
 }
 
 impl ServerSide {
     /// `room`: bytes left for large bodies, of all connections together.
     pub fn new(wanted: &'static [&'static str], most_body: usize, room: Rc<Cell<usize>>) -> ServerSide {
-        ServerSide { wanted, most_body, room, head: None, failed: false }
+        ServerSide { wanted, most_body, room, head: None, failed: false, full: false }
     }
 
     /// A request has begun and is not whole.
@@ -124,6 +125,11 @@
         self.head.is_some()
     }
 
+    /// The last 413 is one for want of room: the same body may find some later.
+    pub fn full(&self) -> bool {
+        self.full
+    }
+
     fn bad(&mut self, status: u16) -> io::Result<Option<Asked>> {
         self.failed = true;
         Ok(Some(Asked::Bad(status)))
@@ -180,7 +186,8 @@
         }
         let Some((request, body)) = &mut self.head else { return Ok(None) };
         let known = body.known(from);
-        if known > self.most_body || !has_room(&mut request.held, &self.room, known) {
+        self.full = known <= self.most_body && !has_room(&mut request.held, &self.room, known);
+        if known > self.most_body || self.full {
             return self.bad(413);
         }
         match body.take(from, false, self.most_body) {
@@ -402,6 +409,14 @@
     fn a_doubled_field_is_unclear_and_large_bodies_need_room() {
         assert_eq!(asked(b"GET /a HTTP/1.1\r\nKey: a\r\nkey: b\r\n\r\n"), ["GET /a None b\"\""]);
         assert_eq!(asked(b"POST /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n"), ["413"]);
+        // For want of room it may find some later, and says so.
+        let full = |length: usize| {
+            let mut codec = ServerSide::new(&[], SMALL * 4, Rc::new(Cell::new(SMALL)));
+            let head = format!("POST /a HTTP/1.1\r\nContent-Length: {length}\r\n\r\n");
+            let decoded = codec.decode(&mut BytesMut::from(head.as_bytes()));
+            (matches!(decoded, Ok(Some(Asked::Bad(413)))), codec.full())
+        };
+        assert_eq!((full(SMALL * 5), full(SMALL * 2)), ((true, false), (true, true)));
         let two = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x\r\nab\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n";
         assert_eq!(asked(two), ["POST /a None b\"ab\"", "GET /b None b\"\""]);
     }
--- a/harbourmaster/src/desk.rs
+++ b/harbourmaster/src/desk.rs
@@ -1,16 +1,21 @@
-//! The operators' commands: each is one call of the table in `office.rs`, sent to one control gateway after another until
+//! The operators' commands: each is one call of the table in `calls.rs`, sent to one control gateway after another until
 //! one answers. Owns what is printed. Must never send a configuration that does not pass the check.
 
-use crate::office::Call;
-use crate::{MasterError, Outcome, read_settings};
+use crate::calls::Call;
+use crate::orders::{digest, hex};
+use crate::salvage::{Told, survey};
+use crate::{MasterError, Outcome, read_settings, voters};
 use chart::Chart;
 use clap::ArgMatches;
 use error_stack::{Report, ResultExt};
 use fairway::plain::{CallerSide, Reply, Sending};
+use futures_util::future::join_all;
 use futures_util::{SinkExt, StreamExt};
+use serde_json::{Value, json};
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -21,14 +26,18 @@
 const WITHIN: Duration = Duration::from_secs(3);
 /// Redirections that are followed.
 const MOST_HOPS: usize = 2;
+/// Control gateways that are asked where all are, and how often those that they name are asked as well.
+const MOST_ASKED: usize = 64;
+const MOST_ROUNDS: usize = 3;
+/// Headers of replies, in the order of their fields.
+const WANTED: &[&str] = &["location", "config-version", "config-digest", "confirmed-seconds-ago"];
 
-async fn ask(to: SocketAddr, call: Call, name: &str, body: &[u8]) -> io::Result<Reply> {
-    let (method, place) = call.place();
-    let (mut to, mut target) = (to, format!("{place}{name}"));
+async fn ask(to: SocketAddr, call: Call, names: &str, body: &[u8]) -> io::Result<Reply> {
+    let (method, mut to, mut target) = (call.method(), to, format!("{}{names}", call.path()));
     for _ in 0..=MOST_HOPS {
         let stream = TcpStream::connect(to).await?;
         let mut framed =
-            Framed::new(stream, CallerSide::new(&["location"], MOST_BODY, Rc::new(Cell::new(MOST_BODY))));
+            Framed::new(stream, CallerSide::new(WANTED, MOST_BODY, Rc::new(Cell::new(MOST_BODY))));
         let lines = b"Content-Type: application/json\r\nConnection: close\r\n";
         framed.send(Sending { method, target: &target, host: &to.to_string(), lines, body }).await?;
         let reply = framed.next().await.unwrap_or(Err(io::ErrorKind::UnexpectedEof.into()))?;
@@ -44,54 +53,168 @@
     Err(io::Error::other("too many redirections"))
 }
 
+async fn ask_in_time(to: SocketAddr, call: Call, names: &str, body: &[u8]) -> io::Result<Reply> {
+    let asked = timeout(WITHIN, ask(to, call, names, body)).await;
+    asked.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+fn address(argument: &str, text: &str) -> Outcome<SocketAddr> {
+    let read = text.parse().change_context(MasterError::Call);
+    read.attach_with(|| format!("{argument}: {text:?} is no address with a port, as 10.0.0.1:8200"))
+}
+
 fn addresses(below: &ArgMatches) -> Outcome<Vec<SocketAddr>> {
-    match below.get_one::<String>("to") {
-        Some(text) => {
-            let address = text.parse().change_context(MasterError::Call);
-            Ok(vec![address.attach_with(|| format!("--to: {text:?} is no address"))?])
-        }
+    match below.get_many::<String>("to") {
+        Some(texts) => texts.map(|text| address("--to", text)).collect(),
         None => Ok(read_settings()?.seeds.into_iter().map(SocketAddr::from).collect()),
     }
 }
 
-async fn carry(below: &ArgMatches, call: Call, name: &str, body: &[u8]) -> Outcome<()> {
-    let mut last = Report::new(MasterError::Call).attach("no control gateway is named");
-    for to in addresses(below)? {
-        let asked = timeout(WITHIN, ask(to, call, name, body)).await;
-        match asked.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
-            Ok(reply) if reply.status < 500 => {
-                let text = String::from_utf8_lossy(&reply.body);
-                if reply.status == 200 {
-                    println!("{text}");
-                    return Ok(());
-                }
-                return Err(
-                    Report::new(MasterError::Call).attach(format!("{to} answered {}: {text}", reply.status))
-                );
+fn failed(kind: MasterError, why: String) -> Report<MasterError> {
+    Report::new(kind).attach(why)
+}
+
+/// Why an order is refused, in words.
+fn refusal(to: SocketAddr, body: &[u8]) -> String {
+    let told: Value = serde_json::from_slice(body).unwrap_or_default();
+    let word = |name: &str| told[name].as_str().unwrap_or("");
+    let mut said = match word("Error") {
+        "" => format!("{to} refuses: {}", String::from_utf8_lossy(body)),
+        why => format!("{to} refuses: {why}"),
+    };
+    if !word("Digest").is_empty() {
+        let (version, theirs, yours) = (word("ConfigVersion"), word("Digest"), word("YourDigest"));
+        said += &format!("; under {version} stands the text of digest {theirs}, yours is of {yours}");
+    }
+    said
+}
+
+/// Sends a call to one control gateway after another until one answers for good.
+async fn reply(to: &[SocketAddr], call: Call, names: &str, body: &[u8]) -> Outcome<Reply> {
+    let mut last = failed(MasterError::Call, "no control gateway is named".into());
+    for &to in to {
+        match ask_in_time(to, call, names, body).await {
+            Ok(reply) if reply.status == 200 => return Ok(reply),
+            Ok(reply) if reply.status == 409 => {
+                return Err(failed(MasterError::Refused, refusal(to, &reply.body)));
             }
             Ok(reply) => {
-                last = Report::new(MasterError::Call).attach(format!("{to} answered {}", reply.status))
+                let text = String::from_utf8_lossy(&reply.body);
+                last = failed(MasterError::Call, format!("{to} answered {}: {text}", reply.status));
+                if reply.status < 500 {
+                    return Err(last);
+                }
             }
-            Err(e) => last = Report::new(MasterError::Call).attach(format!("{to}: {e}")),
+            Err(e) => last = failed(MasterError::Call, format!("{to}: {e}")),
         }
     }
     Err(last)
 }
 
+async fn carry(below: &ArgMatches, call: Call, names: &str, body: &[u8]) -> Outcome<()> {
+    let reply = reply(&addresses(below)?, call, names, body).await?;
+    println!("{}", String::from_utf8_lossy(&reply.body));
+    Ok(())
+}
+
+async fn read(below: &ArgMatches) -> Outcome<()> {
+    let reply = reply(&addresses(below)?, Call::Read, "", b"").await?;
+    let field = |n: usize| reply.fields[n].once().unwrap_or("?");
+    let (version, told, ago) = (field(1), field(2), field(3));
+    let own = hex(&digest(&reply.body));
+    if told != own {
+        return Err(failed(
+            MasterError::Call,
+            format!("the text that came has digest {own}, told was {told}"),
+        ));
+    }
+    eprintln!("version {version}, digest {own}, confirmed by a majority {ago} s ago");
+    println!("{}", String::from_utf8_lossy(&reply.body));
+    Ok(())
+}
+
 fn checked(below: &ArgMatches) -> Outcome<Vec<u8>> {
     let file = below.get_one::<String>("FILE").map_or("", String::as_str);
     let text = std::fs::read(file).change_context(MasterError::File).attach_with(|| file.to_string())?;
     let chart = Chart::read(&text).change_context(MasterError::File).attach_with(|| file.to_string())?;
     let (routes, services, tenants) = (chart.routes.len(), chart.services.len(), chart.tenants.len());
-    eprintln!("version {:08x}: {routes} routes, {services} services, {tenants} tenants", chart.version);
+    let (version, digest) = (chart.version, hex(&digest(&text)));
+    eprintln!(
+        "version {version:08x}, digest {digest}: {routes} routes, {services} services, {tenants} tenants"
+    );
     Ok(text)
 }
 
+/// What all control gateways that are reached hold, those asked first and those that they name.
+async fn ask_all(first: Vec<SocketAddr>) -> Vec<(String, Told)> {
+    let (mut told, mut next) = (BTreeMap::<SocketAddr, Told>::new(), first);
+    for _ in 0..MOST_ROUNDS {
+        next.retain(|to| !told.contains_key(to));
+        next.truncate(MOST_ASKED.saturating_sub(told.len()));
+        let asked = join_all(next.iter().map(|&to| ask_in_time(to, Call::Voters, "", b""))).await;
+        let mut named: Vec<SocketAddr> = Vec::new();
+        for (to, reply) in next.into_iter().zip(asked) {
+            let read = reply.and_then(|reply| match reply.status {
+                200 => serde_json::from_slice::<Value>(&reply.body).map_err(io::Error::other),
+                status => Err(io::Error::other(format!("answered {status}"))),
+            });
+            let seats = read.iter().flat_map(|value| value["Seats"].as_array()).flatten();
+            named.extend(seats.filter_map(|seat| seat["Control"].as_str()?.parse::<SocketAddr>().ok()));
+            told.insert(to, read.map_err(|e| e.to_string()));
+        }
+        next = named;
+    }
+    told.into_iter().map(|(to, told)| (to.to_string(), told)).collect()
+}
+
+/// Shows what is left; founds anew only where place, epoch and what is given up are all repeated.
+async fn found_anew(below: &ArgMatches) -> Outcome<()> {
+    let word = |name: &str| below.get_one::<String>(name).map(String::as_str);
+    let (said, _) = survey(&ask_all(addresses(below)?).await);
+    println!("{said}");
+    let (at, epoch, lose) = match (word("at"), word("epoch"), word("lose")) {
+        (Some(at), Some(epoch), Some(lose)) => (address("--at", at)?, epoch, lose),
+        (None, None, None) => return Ok(()),
+        _ => return Err(failed(MasterError::Call, "--at, --epoch and --lose go together".into())),
+    };
+    let number = epoch.parse::<u64>().change_context(MasterError::Call);
+    let epoch = number.attach_with(|| format!("--epoch: {epoch:?} is no number"))?;
+    let mut names = Vec::new();
+    for name in lose.split(',') {
+        let node = voters::node(name).ok_or_else(|| {
+            failed(MasterError::Call, format!("--lose: {name:?} is no address, as 10.0.0.1"))
+        })?;
+        names.push(Ipv4Addr::from(node).to_string());
+    }
+    let body = json!({"Epoch": epoch, "Lose": names}).to_string();
+    let reply = reply(&[at], Call::VotersRefound, "", body.as_bytes()).await?;
+    println!("{}", String::from_utf8_lossy(&reply.body));
+    Ok(())
+}
+
+async fn voters_command(below: &ArgMatches) -> Outcome<()> {
+    match below.subcommand() {
+        Some(("replace", below)) => {
+            let mut names = Vec::new();
+            for argument in ["OLD", "NEW"] {
+                let text = below.get_one::<String>(argument).map_or("", String::as_str);
+                let node = voters::node(text);
+                let why = || format!("{argument}: {text:?} is no address of a machine, as 10.0.0.1");
+                names.push(Ipv4Addr::from(node.ok_or_else(|| failed(MasterError::Call, why()))?).to_string());
+            }
+            carry(below, Call::VotersReplace, &names.join("/"), b"").await
+        }
+        Some((_, below)) => found_anew(below).await,
+        None => carry(below, Call::Voters, "", b"").await,
+    }
+}
+
 pub async fn command(name: &str, below: &ArgMatches) -> Outcome<()> {
     match name {
         "check" => checked(below).map(drop),
         "replace" => carry(below, Call::Replace, "", &checked(below)?).await,
-        "read" => carry(below, Call::Read, "", b"").await,
+        "read" => read(below).await,
+        "voters" => voters_command(below).await,
         "members" => carry(below, Call::Members, "", b"").await,
         "hosts" => carry(below, Call::Hosts, "", b"").await,
         "duties" => carry(below, Call::Duties, "", b"").await,
--- a/harbourmaster/src/lib.rs
+++ b/harbourmaster/src/lib.rs
@@ -2,12 +2,24 @@
 //! end. Must never take part in a decision.
 #![forbid(unsafe_code)]
 
+mod backlog;
+mod calls;
 pub mod desk;
 mod links;
 mod lookout;
+mod looks;
+#[cfg(test)]
+mod made_up;
+mod notices;
 mod office;
+mod orders;
 mod port;
+mod salvage;
+#[cfg(test)]
+mod tests;
+mod voters;
 
+use backlog::Disk;
 use chart::Settings;
 use error_stack::{Report, ResultExt};
 use harbour::control::{Control, Start};
@@ -41,8 +53,10 @@
     Start,
     /// A command's file can't be read, or is no configuration.
     File,
-    /// No control gateway was reached, or it refused.
+    /// No control gateway was reached, or none answered for good.
     Call,
+    /// An order is refused because something else stands.
+    Refused,
 }
 
 impl fmt::Display for MasterError {
@@ -53,6 +67,7 @@
             MasterError::Start => "the control gateway can't start",
             MasterError::File => "the file can't be used",
             MasterError::Call => "the call did not come through",
+            MasterError::Refused => "the order is refused",
         })
     }
 }
@@ -145,7 +160,8 @@
         bind(settings.directory, "Listen.Directory").await?,
     ];
     let inner = bind(Some(SocketAddrV4::new(settings.ip, settings.port).into()), "InternalPorts").await?;
-    let port = Port::new(settings, clock, control, logbook, kept);
+    let disk = logbook.map(|logbook| Box::new(logbook) as Box<dyn Disk>);
+    let port = Port::new(settings, clock, control, disk, kept);
     let on_disk = port.clone();
     spawn_local(async move {
         while let Some(then) = words.recv().await {
@@ -161,7 +177,7 @@
     let ticked = port.clone();
     spawn_local(async move {
         loop {
-            ticked.step(|control, now| control.tick(now));
+            ticked.tick();
             sleep(TICK).await;
         }
     });
--- /dev/null
+++ b/harbourmaster/src/made_up.rs
@@ -0,0 +1,189 @@
+//! Three control gateways on one thread, without sockets: their links are channels that can be cut, their disks are made
+//! up, their time is the test's own. What the cores, ports and calls are is the program's.
+
+use crate::backlog::Disk;
+use crate::calls::Call;
+use crate::office::respond;
+use crate::port::{Kept, Port};
+use chart::Settings;
+use fairway::plain::{Answer, Field, Request};
+use harbour::control::{Control, Start};
+use logbook::{Entered, State};
+use mooring::Clock;
+use serde_json::{Value, json};
+use signal::{Keeper, Muster, Node, Word};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::runtime::LocalOptions;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+pub const NODES: [Node; 3] = [0x0a00_0001, 0x0a00_0002, 0x0a00_0003];
+const TICK: Duration = Duration::from_millis(50);
+/// One way between two gateways.
+const WAY: Duration = Duration::from_millis(10);
+
+/// On a thread of its own time: waiting costs nothing, and goes the same way each time.
+pub fn play<T>(work: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all().start_paused(true).build_local(LocalOptions::default()).unwrap().block_on(work)
+}
+
+pub async fn pass(seconds: f64) {
+    sleep(Duration::from_secs_f64(seconds)).await;
+}
+
+/// A disk that takes everything at once, or nothing.
+#[derive(Clone, Default)]
+pub struct Shelf(Rc<(RefCell<State>, Cell<bool>)>);
+
+impl Shelf {
+    pub fn refuse(&self, refuses: bool) {
+        self.0.1.set(refuses);
+    }
+
+    pub fn state(&self) -> State {
+        self.0.0.borrow().clone()
+    }
+}
+
+impl Disk for Shelf {
+    fn enter(&self, entered: Entered, kept: Box<dyn FnOnce() + Send>) -> bool {
+        if self.0.1.get() {
+            return false;
+        }
+        let mut state = self.0.0.borrow_mut();
+        if let Some(muster) = entered.muster {
+            state.muster = muster;
+        }
+        state.slots.extend(entered.slots);
+        state.posts.extend(entered.posts.into_iter().map(|post| (post.duty, post)));
+        kept();
+        true
+    }
+}
+
+pub fn settings(node: Node) -> Settings {
+    let ip = Ipv4Addr::from(node);
+    let seeds = NODES.map(|node| format!("{}:8200", Ipv4Addr::from(node)));
+    let text = json!({
+        "NodeName": format!("control-{ip}"), "IpAddress": ip, "Zone": "west", "Region": "coast",
+        "Zones": {"east": "coast", "west": "coast"},
+        "Listen": {"Control": format!("{ip}:8200"), "Directory": format!("{ip}:8209")},
+        "InternalPorts": [7600, 7615], "SeedNodes": seeds, "FirstStart": true,
+        "Limits": {"MemoryMb": 256, "FileDescriptors": 1024},
+        "TimingBounds": ["Revoke=5000ms,Grace=2s,RetryBudgetRatio=0.2,RetryBudgetSlack=50,BudgetWindow=10s",
+            "QuotaWindow=5s,QuotaOverrun=0.1,QuotaSlack=20,ColdOverrun=1.5,ColdSlack=5,ttl_max=5s"],
+    });
+    Settings::read(&text.to_string()).unwrap()
+}
+
+/// One gateway that ticks, with a link to nobody yet.
+pub fn port(node: Node, shelf: Shelf) -> Rc<Port> {
+    let (settings, clock) = (settings(node), Clock::start());
+    let keeper = Keeper {
+        node,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        control: SocketAddrV4::new(node.into(), 8200),
+    };
+    let muster = Muster::first(&NODES);
+    let slots = Some(Default::default());
+    let start = Start { keeper, muster, needed: 3, slots, posts: Vec::new(), seed: u64::from(node) };
+    let (kept, mut words) = mpsc::unbounded_channel::<Kept>();
+    let control = Control::new(clock.now(), start);
+    let port = Port::new(settings, clock, control, Some(Box::new(shelf)), kept);
+    let (on_disk, ticked) = (port.clone(), port.clone());
+    spawn_local(async move {
+        while let Some(then) = words.recv().await {
+            on_disk.kept(then);
+        }
+    });
+    spawn_local(async move {
+        loop {
+            sleep(TICK).await;
+            ticked.tick();
+        }
+    });
+    port
+}
+
+pub struct Sound {
+    pub ports: Vec<Rc<Port>>,
+    pub shelves: Vec<Shelf>,
+    cut: Rc<RefCell<BTreeSet<Node>>>,
+}
+
+impl Sound {
+    /// Three gateways that hear each other.
+    pub fn new() -> Sound {
+        let shelves: Vec<Shelf> = NODES.iter().map(|_| Shelf::default()).collect();
+        let ports: Vec<Rc<Port>> =
+            NODES.iter().zip(&shelves).map(|(&node, s)| port(node, s.clone())).collect();
+        let cut: Rc<RefCell<BTreeSet<Node>>> = Rc::default();
+        for from in &ports {
+            for to in ports.iter().filter(|to| to.me != from.me) {
+                let (out, mut words) = mpsc::channel::<Word>(256);
+                let (from, to, cut) = (from.clone(), to.clone(), cut.clone());
+                from.links.borrow_mut().insert(to.me, out.clone());
+                out.try_send(from.look(|control, _| control.greeting())).unwrap();
+                spawn_local(async move {
+                    while let Some(word) = words.recv().await {
+                        sleep(WAY).await;
+                        if !cut.borrow().contains(&from.me) && !cut.borrow().contains(&to.me) {
+                            to.hear(from.me, word);
+                        }
+                    }
+                });
+            }
+        }
+        Sound { ports, shelves, cut }
+    }
+
+    /// Nothing goes to that gateway and from it any more, or does again.
+    pub fn cut(&self, n: usize, cut: bool) {
+        self.cut.borrow_mut().retain(|&node| node != NODES[n]);
+        self.cut.borrow_mut().extend(cut.then_some(NODES[n]));
+    }
+
+    pub async fn call(&self, n: usize, call: Call, names: &str, body: &str) -> (Answer, Value) {
+        ask(&self.ports[n], call, names, body).await
+    }
+}
+
+pub async fn ask(port: &Port, call: Call, names: &str, body: &str) -> (Answer, Value) {
+    let request = Request {
+        method: call.method().to_string(),
+        target: format!("{}{names}", call.path()),
+        host: Field::Absent,
+        fields: Vec::new(),
+        passed: Vec::new(),
+        body: body.as_bytes().to_vec().into(),
+        close: false,
+        held: None,
+    };
+    let answer = respond(port, call, &request).await;
+    let told = serde_json::from_slice(&answer.body).unwrap_or_default();
+    (answer, told)
+}
+
+/// A configuration whose texts differ with `rate`.
+pub fn configuration(version: u64, rate: u32) -> String {
+    json!({
+        "ConfigVersion": format!("{version:08x}"),
+        "RouteTable": {
+            "ColumnNames": ["Designation", "Origin", "PathPrefix", "Category", "Timeout", "Target", "Precedence",
+                "MaxAttempts", "Service"],
+            "Records": [["read", "reports.example", "/read/", "idempotent", "3s", "500ms", 1, 2, "reports"]],
+        },
+        "ServiceTable": {"ColumnNames": ["Designation", "HealthPath", "MaxConnections"],
+            "Records": [["reports", "/health", 100]]},
+        "Subscribers": {"ColumnNames": ["Designation", "Credentials", "RatePerS", "BurstSize"],
+            "Records": [["lab", ["lab-key"], rate, rate]]},
+    })
+    .to_string()
+}
--- a/harbourmaster/src/main.rs
+++ b/harbourmaster/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use archlink_harbourmaster::{MasterError, Outcome, desk, read_settings, serve};
-use clap::{Arg, ArgMatches, Command};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use error_stack::ResultExt;
 use mooring::until_told;
 use tokio::runtime::LocalOptions;
@@ -23,14 +23,34 @@
     runtime.block_on(work)
 }
 
+fn voters() -> Command {
+    let word = |name: &'static str, help: &'static str| Arg::new(name).long(name).help(help);
+    Command::new("voters")
+        .about("Who votes, what one control gateway holds and whom it hears")
+        .subcommand(
+            Command::new("replace")
+                .about("Give the seat of a machine to another one that is up")
+                .arg(Arg::new("OLD").required(true).help("address of the machine that goes, as 10.0.0.1"))
+                .arg(Arg::new("NEW").required(true).help("address of the one that comes")),
+        )
+        .subcommand(
+            Command::new("found-anew")
+                .about("With a majority of the voters gone for good: show what is left; with all three words, found anew")
+                .arg(word("at", "the survivor to found from, as it was shown"))
+                .arg(word("epoch", "its epoch, as it was shown"))
+                .arg(word("lose", "the seats that are given up, as they were shown: ADDRESS,ADDRESS")),
+        )
+}
+
 fn commands() -> Command {
     let file = || Arg::new("FILE").required(true).help("a configuration, as JSON");
     let zone = || Arg::new("ZONE").required(true);
     let to = Arg::new("to")
         .long("to")
         .global(true)
+        .action(ArgAction::Append)
         .value_name("ADDRESS")
-        .help("a control gateway; else the seeds of the settings file");
+        .help("a control gateway, also several; else the seeds of the settings file");
     Command::new("archlink-harbourmaster")
         .version(env!("CARGO_PKG_VERSION"))
         .about("The control plane of archlink, and the operators' way to it")
@@ -46,6 +66,7 @@
                 .subcommand(Command::new("begin").arg(zone()))
                 .subcommand(Command::new("finish").arg(zone())),
         )
+        .subcommand(voters())
         .subcommand(Command::new("members").about("Control and data gateways that are there"))
         .subcommand(Command::new("hosts").about("Hosts, and evacuated zones"))
         .subcommand(Command::new("duties").about("Who does what for all"))
@@ -70,7 +91,8 @@
 fn main() {
     if let Err(e) = begin_command(&commands().get_matches()) {
         eprintln!("archlink-harbourmaster: {}", mooring::told(&e));
-        std::process::exit(2);
+        // Refused because something else stands: another text under the number, or other voters.
+        std::process::exit(if *e.current_context() == MasterError::Refused { 3 } else { 2 });
     }
 }
 
--- /dev/null
+++ b/harbourmaster/src/notices.rs
@@ -0,0 +1,125 @@
+//! What operators find in the log about contact, epochs and duties: each once, when it changes. Owns what was said last.
+//! Must never act on any of it.
+
+use crate::port::{FRESH, YOUNG};
+use signal::{DUTIES, Duty, Muster, Node};
+use std::net::Ipv4Addr;
+
+/// What is looked at each tick.
+pub struct Seen<'a> {
+    /// Seconds since a question was asked to which a majority answered.
+    pub contact: Option<f64>,
+    pub muster: &'a Muster,
+    /// The term in which this gateway holds each duty.
+    pub held: [(Duty, Option<u64>); DUTIES.len()],
+}
+
+#[derive(Default)]
+pub struct Notices {
+    /// Since when there is contact, or none; not known before the first.
+    contact: Option<(bool, f64)>,
+    muster: Muster,
+    held: [Option<u64>; DUTIES.len()],
+}
+
+fn list(nodes: &[Node]) -> String {
+    nodes.iter().map(|&node| Ipv4Addr::from(node).to_string()).collect::<Vec<_>>().join(",")
+}
+
+impl Notices {
+    /// The lines that are due.
+    pub fn look(&mut self, now: f64, seen: &Seen) -> Vec<String> {
+        let mut lines = Vec::new();
+        let answers = seen.contact.is_some_and(|ago| ago <= FRESH);
+        match self.contact {
+            None if answers => {
+                lines.push(format!("contact: a majority answers, {now:.1} s after the start"));
+                self.contact = Some((true, now));
+            }
+            None if now > YOUNG => {
+                lines.push("contact: no majority has answered since the start".to_string());
+                self.contact = Some((false, 0.0));
+            }
+            Some((true, since)) if !answers => {
+                let ago = seen.contact.unwrap_or(now);
+                lines.push(format!(
+                    "contact lost: no majority has answered for {ago:.1} s, after {:.0} s",
+                    now - since
+                ));
+                self.contact = Some((false, now - ago));
+            }
+            Some((false, since)) if answers => {
+                lines.push(format!("contact regained after {:.1} s", now - since));
+                self.contact = Some((true, now));
+            }
+            _ => {}
+        }
+        if *seen.muster != self.muster {
+            lines.extend(self.epoch(seen.muster));
+            self.muster = seen.muster.clone();
+        }
+        for (before, (duty, term)) in self.held.iter_mut().zip(seen.held) {
+            match (*before, term) {
+                (was, Some(term)) if was != Some(term) => lines.push(format!("{duty:?} won, term {term}")),
+                (Some(was), None) => lines.push(format!("{duty:?} lost, term {was}")),
+                _ => {}
+            }
+            *before = term;
+        }
+        lines
+    }
+
+    fn epoch(&self, muster: &Muster) -> Vec<String> {
+        let (before, epoch, seats) = (&self.muster, muster.epoch, list(&muster.seats));
+        let mut lines = vec![match muster.changing() {
+            true => format!("epoch {epoch}: {seats} vote, and {} with them", list(&muster.coming)),
+            false => format!("epoch {epoch}: {seats} vote"),
+        }];
+        // Epochs in between may have gone by unseen: only what follows from the one before is told as its end.
+        let next = before.known() && epoch == before.epoch + 1;
+        if muster.changing() {
+            lines.push(format!("change of the voters begun: {seats} to {}", list(&muster.coming)));
+        } else if next && before.changing() && muster.seats == before.coming {
+            lines.push(format!("change of the voters ended: {seats}"));
+        } else if next && before.changing() {
+            lines.push(format!("change of the voters rolled back: {seats} as before"));
+        }
+        lines
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Each line comes once, when what it tells of changes; a change that ends is told from one that is rolled back.
+    #[test]
+    fn what_changes_is_said_once() {
+        let mut notices = Notices::default();
+        let mut look = |now, contact, muster: &Muster, tally| {
+            let held = [(Duty::Lookout, None), (Duty::Tally, tally)];
+            notices.look(now, &Seen { contact, muster, held }).join("; ")
+        };
+        let first = Muster::first(&[1, 2, 3]);
+        let joint = first.begin(vec![1, 2, 4]);
+        assert_eq!(look(0.0, None, &first, None), "epoch 1: 0.0.0.1,0.0.0.2,0.0.0.3 vote");
+        assert_eq!(
+            look(1.0, Some(0.1), &first, Some(7)),
+            "contact: a majority answers, 1.0 s after the start; Tally won, term 7"
+        );
+        assert_eq!(look(1.1, Some(0.2), &first, Some(7)), "");
+        assert_eq!(
+            look(5.0, Some(2.5), &first, None),
+            "contact lost: no majority has answered for 2.5 s, after 4 s; Tally lost, term 7"
+        );
+        assert_eq!(look(6.0, Some(3.5), &first, None), "");
+        let begun = "epoch 2: 0.0.0.1,0.0.0.2,0.0.0.3 vote, and 0.0.0.1,0.0.0.2,0.0.0.4 with them; \
+            change of the voters begun: 0.0.0.1,0.0.0.2,0.0.0.3 to 0.0.0.1,0.0.0.2,0.0.0.4";
+        assert_eq!(look(7.0, Some(0.1), &joint, None), format!("contact regained after 4.5 s; {begun}"));
+        assert!(look(8.0, Some(0.1), &joint.end(&first.seats), None).contains("rolled back"));
+        let mut notices = Notices { muster: joint.clone(), ..Notices::default() };
+        let held = [(Duty::Lookout, None), (Duty::Tally, None)];
+        let ended = joint.end(&joint.coming);
+        assert!(notices.look(1.0, &Seen { contact: None, muster: &ended, held })[1].contains("ended"));
+    }
+}
--- /dev/null
+++ b/harbourmaster/src/orders.rs
@@ -0,0 +1,141 @@
+//! Operators' orders about configurations and evacuations: what is checked before anything is begun, and what each end of
+//! an order is answered with. Must never acknowledge what a majority does not hold, nor say a refusal that would change if
+//! the same text came again: that rests on the text alone, or on another that stands under its number for good.
+
+use crate::calls::Call;
+use crate::office::{later, refused};
+use crate::port::{Order, Port, Unbegun};
+use bytes::Bytes;
+use chart::Chart;
+use fairway::plain::Answer;
+use harbour::helm::Change;
+use harbour::{Outcome, Refusal};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use signal::{Mark, Register, pack};
+
+/// A packed configuration goes in one frame between control gateways, with the words about it.
+const MOST_PACKED: usize = 6 << 20;
+
+/// What an operator's text is told by: of its bytes as they were sent.
+pub fn digest(text: &[u8]) -> [u8; 16] {
+    let mut digest = [0; 16];
+    digest.copy_from_slice(&Sha256::digest(text)[..16]);
+    digest
+}
+
+pub fn hex(digest: &[u8]) -> String {
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// The end of an order; else the answer that it has none, or was not begun.
+pub fn settled(ended: Result<Outcome, Unbegun>) -> Result<Outcome, Answer> {
+    match ended {
+        Ok(Outcome::Unclear) => Err(later(
+            "no majority has taken it yet: it may or may not come to be; the same order sent again tells",
+        )),
+        Ok(outcome) => Ok(outcome),
+        Err(Unbegun::Contact) => {
+            Err(later("not begun: no majority answers this gateway; nothing was altered, nor will be"))
+        }
+        Err(Unbegun::Many) => Err(later("not begun: too many orders wait; nothing was altered, nor will be")),
+    }
+}
+
+/// Beyond what an operator's counts come to, and so that the next number is one as well.
+const MOST_VERSION: u64 = u64::MAX >> 1;
+
+pub async fn replace(port: &Port, text: &Bytes) -> Answer {
+    let version = match Chart::read(text) {
+        Ok(chart) => chart.version,
+        Err(e) => {
+            log::warn!("a configuration is refused: {e}");
+            return refused(400, e.current_context());
+        }
+    };
+    if version > MOST_VERSION {
+        return refused(400, "ConfigVersion: too large");
+    }
+    let packed: Bytes = match pack::pack(text, b"") {
+        Ok(packed) if packed.len() <= MOST_PACKED => packed.into(),
+        Ok(_) => return refused(413, "the configuration is too large to be sent between control gateways"),
+        Err(e) => return refused(413, e),
+    };
+    let own = Mark { version, digest: digest(text) };
+    let change = Change::Chart { version, text: packed };
+    match settled(port.order(Call::Replace, Order::Change(change)).await) {
+        Ok(Outcome::Stands(mark)) => stands(own, mark),
+        Ok(Outcome::Refused(why)) => not_so(why),
+        Ok(_) => taken(port, own),
+        Err(answer) => answer,
+    }
+}
+
+fn marked(mark: Mark) -> Value {
+    json!({"ConfigVersion": format!("{:08x}", mark.version), "Digest": hex(&mark.digest)})
+}
+
+/// The configuration in force, as far as is known here. One of before there were marks is read.
+fn in_force(port: &Port) -> Option<Mark> {
+    let held = port.look(|control, _| control.helm.chosen(Register::Chart).cloned())?;
+    let version = held.stamp.saturating_sub(1);
+    let known = held.marks.last().copied().filter(|mark| mark.version == version);
+    known.or_else(|| Some(Mark { version, digest: digest(&pack::unpack(&held.value, b"").ok()?) }))
+}
+
+/// Acknowledged; `InForce` names the configuration that stands, which has a higher number where this one came too late.
+fn taken(port: &Port, own: Mark) -> Answer {
+    let mut told = marked(own);
+    told["InForce"] = marked(in_force(port).unwrap_or(own));
+    Answer::json(200, told.to_string())
+}
+
+/// Another text stands under this number, for good.
+fn stands(own: Mark, mark: Mark) -> Answer {
+    let (theirs, yours) = (hex(&mark.digest), hex(&own.digest));
+    log::warn!("configuration {:08x} is refused: {theirs} stands under it, {yours} was sent", own.version);
+    let why = "another text stands under this number: read it, and send yours under a higher one";
+    let told = json!({"Error": why, "ConfigVersion": format!("{:08x}", own.version), "Digest": theirs,
+        "YourDigest": yours});
+    Answer::json(409, told.to_string())
+}
+
+pub async fn evacuate(port: &Port, call: Call, zone: &str) -> Answer {
+    let on = call == Call::Begin;
+    if !port.settings.zones.contains_key(zone) {
+        return refused(404, format_args!("{zone:?} is no zone of this deployment"));
+    }
+    let order = Order::Change(Change::Evacuate { zone: zone.to_string(), on });
+    match settled(port.order(call, order).await) {
+        Ok(Outcome::Refused(why)) => not_so(why),
+        Ok(_) => Answer::json(200, json!({"Zone": zone, "Evacuated": on}).to_string()),
+        Err(answer) => answer,
+    }
+}
+
+/// What to do about a refusal.
+pub fn sentence(why: Refusal) -> &'static str {
+    match why {
+        Refusal::Unknown => {
+            "who votes is not known here yet: ask again once this gateway has reached another, or ask another"
+        }
+        Refusal::UnderWay => {
+            "another change of the voters is under way: see `voters`, and order again once it has ended"
+        }
+        Refusal::NoSeat => "the one that is to go has no seat: see `voters` for those that have",
+        Refusal::Seated => "the one that is to come has a seat already: see `voters`",
+        Refusal::Absent => {
+            "the one that is to come is not heard of: start it, and order again once `members` names it"
+        }
+        Refusal::NotWhole => {
+            "too many voters are not there or have not read back their disks: see `voters`, and bring those back first"
+        }
+        Refusal::Epoch => "the epoch that was named is not the one that stands: see `voters`, and name that",
+    }
+}
+
+/// Refused for good as things stand; nothing was begun.
+pub fn not_so(why: Refusal) -> Answer {
+    log::warn!("an order is refused: {}", sentence(why));
+    Answer::json(409, json!({"Error": sentence(why), "Reason": format!("{why:?}")}).to_string())
+}
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -2,39 +2,85 @@
 //! answers to callers. Owns the core, the counter's book and the sessions' connections. Must never decide what the core
 //! decides, nor let a word out that waits for the disk.
 
-use bytes::Bytes;
+use crate::backlog::{Backlog, Disk};
+use crate::calls::{Call, Rests};
+use crate::notices::{Notices, Seen};
 use chart::{Chart, Settings};
 use harbour::control::Control;
 use harbour::helm::Change;
 use harbour::news::News;
-use harbour::{Act, Outcome, Record};
-use logbook::{Entered, Logbook};
+use harbour::{Act, Outcome, Record, Reseat};
+use logbook::Entered;
 use mooring::{Clock, Out};
-use signal::{Add, Node, Piece, Register, Vector, Word, pack};
+use signal::{Add, DUTIES, Held, Node, Piece, REGISTERS, Register, Vector, Word, pack};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
 use tally::book::{Book, SILENCE};
 use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::task::yield_now;
+use tokio::time::timeout;
 
 /// Words for this gateway itself or for others once the disk has what they stand for.
 pub type Kept = Vec<(Node, Word)>;
 
+/// Orders that wait for their end at once; fewer than the core has room for on each register.
+const MOST_ORDERS: usize = 48;
+/// A caller moves on after a second of silence; an order of the core lives 0.9 s.
+const MOVES_ON: Duration = Duration::from_millis(950);
+/// The same for a change of the voters, which a person waits for.
+const RESEATS: Duration = Duration::from_millis(2500);
+/// Word of a majority counts for so long as contact: as long as a data gateway stays with a control gateway that no majority
+/// answers (`bridge::session`). An order that is begun later in a cut than that would only wait to end unclear.
+pub const FRESH: f64 = 2.0;
+/// The links of a process that has only started come up one by one, a voter with an emptied disk is whole after 2.5 s, and
+/// after a loss of power of all nobody has an answer yet: an order that waits then is taken the moment that a majority is
+/// there, while one that is sent away comes back after a pause that grows.
+pub const YOUNG: f64 = 5.0;
+/// For so long an order waits for word of a majority where the last is old: two ways between the widest pair of regions and
+/// a slow sync fit in.
+const PROBE: f64 = 0.15;
+/// Several ticks are due in that time: without one this process stood still.
+const STOOD_STILL: f64 = 0.25;
+
+/// What an operator may order of the core.
+pub enum Order {
+    Change(Change),
+    Reseat(Reseat),
+}
+
+/// Why an order was not begun: it never will be, and the same one may come again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unbegun {
+    /// No majority answers this gateway.
+    Contact,
+    /// Too many orders wait.
+    Many,
+}
+
 pub struct Port {
     pub settings: Settings,
     pub clock: Clock,
     pub me: Node,
     control: RefCell<Control>,
     book: RefCell<Book>,
-    logbook: Option<Logbook>,
+    disk: Option<Box<dyn Disk>>,
+    backlog: RefCell<Backlog>,
     kept: mpsc::UnboundedSender<Kept>,
     pub links: RefCell<HashMap<Node, Out>>,
     pub sessions: RefCell<HashMap<Node, Out>>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
     tokens: Cell<u64>,
+    /// When a word of a voter came last; those of epochs before are forgotten.
+    heard: RefCell<HashMap<Node, f64>>,
     /// The configuration in force, read.
     chart: RefCell<Option<Rc<Chart>>>,
     texts: RefCell<News>,
+    notices: RefCell<Notices>,
+    /// When this process began, and its last tick.
+    began: f64,
+    ticked: Cell<f64>,
     pub leaving: Cell<bool>,
     /// Rung when something is learned or confirmed.
     pub news: Notify,
@@ -45,7 +91,7 @@
         settings: Settings,
         clock: Clock,
         control: Control,
-        logbook: Option<Logbook>,
+        disk: Option<Box<dyn Disk>>,
         kept: mpsc::UnboundedSender<Kept>,
     ) -> Rc<Port> {
         Rc::new(Port {
@@ -54,14 +100,19 @@
             clock,
             control: RefCell::new(control),
             book: RefCell::default(),
-            logbook,
+            disk,
+            backlog: RefCell::default(),
             kept,
             links: RefCell::default(),
             sessions: RefCell::default(),
             waiting: RefCell::default(),
             tokens: Cell::new(0),
+            heard: RefCell::default(),
             chart: RefCell::default(),
             texts: RefCell::default(),
+            notices: RefCell::default(),
+            began: clock.now(),
+            ticked: Cell::new(clock.now()),
             leaving: Cell::new(false),
             news: Notify::new(),
         })
@@ -80,6 +131,9 @@
     }
 
     pub fn hear(&self, from: Node, word: Word) {
+        if from != self.me && self.look(|control, _| control.muster().votes(from)) {
+            self.heard.borrow_mut().insert(from, self.clock.now());
+        }
         self.step(|control, now| control.hear(now, from, word));
     }
 
@@ -109,18 +163,28 @@
     }
 
     fn store(&self, entered: Entered, then: Kept) {
-        let Some(logbook) = &self.logbook else {
+        let Some(disk) = &self.disk else {
             self.kept.send(then).ok();
             return;
         };
         let kept = self.kept.clone();
-        if !logbook.enter(entered, move || kept.send(then).unwrap_or_default()) {
-            log::warn!("the disk is behind: a word is not said");
+        let mut backlog = self.backlog.borrow_mut();
+        let before = backlog.behind();
+        if !backlog.enter(disk.as_ref(), entered, move || kept.send(then).unwrap_or_default()) && !before {
+            log::warn!("the disk is behind: nothing is said until it has taken what waits");
+        }
+    }
+
+    /// What the disk had no room for is given to it again, also where nothing new is to be kept.
+    fn catch_up(&self) {
+        if self.backlog.borrow().behind() {
+            self.store(Entered::default(), Kept::new());
         }
     }
 
     /// What the disk has taken: the words that waited for it may go.
     pub fn kept(&self, words: Kept) {
+        self.backlog.borrow_mut().told();
         for (to, word) in words {
             if to == self.me { self.hear(to, word) } else { self.send(to, word) }
         }
@@ -163,35 +227,117 @@
         self.sessions.borrow().values().for_each(|session| drop(session.try_send(beat.clone())));
     }
 
-    /// Carries a change to its end.
-    pub async fn change(&self, change: Change) -> Outcome {
+    /// Carries an order to its end, where the call's rule of contact lets it begin.
+    pub async fn order(&self, call: Call, order: Order) -> Result<Outcome, Unbegun> {
+        if call.rests() == Rests::Contact && !self.young() && !self.asked().await {
+            log::warn!("{call:?} is not begun: no majority answers");
+            return Err(Unbegun::Contact);
+        }
+        if self.waiting.borrow().len() >= MOST_ORDERS {
+            return Err(Unbegun::Many);
+        }
         let token = self.tokens.get();
         self.tokens.set(token + 1);
         let (sender, done) = oneshot::channel();
         self.waiting.borrow_mut().insert(token, sender);
         let withdraw = Withdraw { port: self, token };
-        self.step(|control, now| control.propose(now, change, token));
-        let outcome = done.await.unwrap_or(Outcome::Unclear);
+        let within = match order {
+            Order::Change(change) => {
+                self.step(|control, now| control.propose(now, change, token));
+                MOVES_ON
+            }
+            Order::Reseat(reseat) => {
+                self.step(|control, now| control.reseat(now, reseat, token));
+                RESEATS
+            }
+        };
+        let outcome = timeout(within, done).await;
         drop(withdraw);
-        outcome
+        Ok(outcome.ok().and_then(Result::ok).unwrap_or(Outcome::Unclear))
     }
 
-    /// The chosen value of a register, confirmed by a majority after this call began; none where none confirms in time.
-    pub async fn read(&self, register: Register, within: f64) -> Option<Option<Bytes>> {
-        let began = self.clock.now();
+    /// Seconds since a question was asked to which a majority answered.
+    pub fn contact(&self) -> Option<f64> {
+        self.look(|control, now| {
+            // Any register tells: one at which orders are at work has no settled ballot meanwhile.
+            let at = REGISTERS.iter().filter_map(|&register| control.helm.confirmed(register));
+            at.max_by(f64::total_cmp).map(|at| now - at)
+        })
+    }
+
+    /// Does a majority answer, as far as is known?
+    pub fn fresh(&self) -> bool {
+        self.contact().is_some_and(|ago| ago <= FRESH)
+    }
+
+    /// Has this process only started?
+    pub fn young(&self) -> bool {
+        self.clock.now() < self.began + YOUNG
+    }
+
+    /// Does a majority answer? Where its last word is old it is asked at once, so that the first order after a cut is taken.
+    pub async fn asked(&self) -> bool {
+        if self.fresh() {
+            return true;
+        }
         self.step(|control, now| control.helm.ask_now(now));
+        self.rung(PROBE, |_, _| self.fresh().then_some(())).await.is_some()
+    }
+
+    /// Seconds since a word of that voter; none where there was none in this life.
+    pub fn heard(&self, node: Node) -> Option<f64> {
+        let at = self.heard.borrow().get(&node).copied();
+        if node == self.me { Some(0.0) } else { at.map(|at| self.clock.now() - at) }
+    }
+
+    /// What `found` finds once it does, looked for each time that something is learned or confirmed.
+    async fn rung<T>(&self, within: f64, found: impl Fn(&Control, f64) -> Option<T>) -> Option<T> {
+        let until = self.clock.now() + within;
         loop {
             let rung = self.news.notified();
-            let found = self.look(|control, _| {
-                let confirmed = control.helm.confirmed(register).is_some_and(|at| at >= began);
-                confirmed.then(|| control.helm.chosen(register).map(|held| held.value.clone()))
-            });
-            let left = within - (self.clock.now() - began);
+            let found = self.look(&found);
+            let left = until - self.clock.now();
             if found.is_some() || left <= 0.0 {
                 return found;
             }
-            tokio::time::timeout(std::time::Duration::from_secs_f64(left), rung).await.ok();
+            timeout(Duration::from_secs_f64(left), rung).await.ok();
+        }
+    }
+
+    /// The chosen value of a register, confirmed by a majority after this call began; none where none confirms in time.
+    pub async fn read(&self, register: Register, within: f64) -> Option<Option<Held>> {
+        let began = self.clock.now();
+        self.step(|control, now| control.helm.ask_now(now));
+        let confirmed = |control: &Control| control.helm.confirmed(register).is_some_and(|at| at >= began);
+        self.rung(within, |control, _| confirmed(control).then(|| control.helm.chosen(register).cloned()))
+            .await
+    }
+
+    /// Time passes: what ends by itself ends.
+    pub fn tick(&self) {
+        self.ticked.set(self.clock.now());
+        self.step(|control, now| control.tick(now));
+        self.catch_up();
+        let contact = self.contact();
+        self.look(|control, now| {
+            let holds = |duty| control.duties.holds(now, duty).map(|term| term.term);
+            let seen =
+                Seen { contact, muster: control.muster(), held: DUTIES.map(|duty| (duty, holds(duty))) };
+            self.notices.borrow_mut().look(now, &seen)
+        })
+        .into_iter()
+        .for_each(|line| log::info!("{line}"));
+        self.look(|control, _| self.heard.borrow_mut().retain(|&node, _| control.muster().votes(node)));
+    }
+
+    /// A process that stood still knows only what was so before: time passes first, and what has come in meanwhile, ends of
+    /// connections among it, is taken in.
+    pub async fn awake(&self) {
+        if self.clock.now() > self.ticked.get() + STOOD_STILL {
+            log::warn!("stood still for {:.1} s", self.clock.now() - self.ticked.get());
+            self.tick();
         }
+        yield_now().await;
     }
 
     pub fn chart(&self) -> Option<Rc<Chart>> {
--- /dev/null
+++ b/harbourmaster/src/tests.rs
@@ -0,0 +1,200 @@
+//! What each call says where a majority answers, and where none does; and what no word may run ahead of.
+
+use crate::calls::{Call, Rests};
+use crate::made_up::{NODES, Shelf, Sound, ask, configuration, pass, play, port};
+use crate::office;
+use signal::{Ballot, Held, Pilot, Poll, Register, Word};
+use std::io::Write;
+use std::net::SocketAddrV4;
+use strum::IntoEnumIterator;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+fn pilot() -> Pilot {
+    let front = SocketAddrV4::new([10, 0, 1, 1].into(), 8206);
+    Pilot { node: 0x0a00_0101, zone: "west".into(), region: "coast".into(), front, ready: true }
+}
+
+/// What stands behind a path or in a body where the call wants something.
+fn wanted(call: Call) -> (&'static str, String) {
+    match call {
+        Call::Replace => ("", configuration(2, 7)),
+        Call::Begin | Call::Finish => ("east", String::new()),
+        Call::VotersReplace => ("10.0.0.3/10.0.0.4", String::new()),
+        Call::VotersRefound => ("", r#"{"Epoch":1,"Lose":["10.0.0.2"]}"#.into()),
+        _ => ("", String::new()),
+    }
+}
+
+/// The table of calls, row by row, at a gateway that was cut off for longer than anybody waits: an order ends at once, was
+/// not begun and says when to come back; a majority's word is not made up; what the gateway knows is told with its age;
+/// sessions that nobody tells of any more are over. It guards against an order that waits its whole life in a minority, and
+/// against a cut-off gateway's word that passes for the fleet's.
+#[test]
+fn each_row_of_the_table_holds_at_a_gateway_that_is_cut_off() {
+    for call in Call::iter() {
+        play(async move {
+            let sound = Sound::new();
+            pass(1.0).await;
+            assert_eq!(sound.call(0, Call::Replace, "", &configuration(1, 5)).await.0.status, 200);
+            let hailed = harbour::journal::Event::Hailed(pilot());
+            sound.ports[1].step(|control, now| control.happened(now, hailed));
+            pass(1.0).await;
+            let (names, body) = wanted(call);
+            let before = sound.call(0, call, names, &body).await;
+            assert_eq!(before.1["Contact"] == true, call.rests() == Rests::Own, "{call:?}: {}", before.1);
+            pass(4.0).await;
+            sound.cut(0, true);
+            pass(6.0).await;
+            let round = |n: usize| {
+                sound.shelves[n].state().slots.values().map(|slot| slot.promised.round).sum::<u64>()
+            };
+            let (asked_at, rounds) = (sound.ports[0].clock.now(), [round(0), round(1)]);
+            let (answer, told) = sound.call(0, call, names, &body).await;
+            let took = sound.ports[0].clock.now() - asked_at;
+            let come_back = String::from_utf8_lossy(&answer.lines).contains("Retry-After");
+            match call.rests() {
+                Rests::Contact => {
+                    assert!(
+                        answer.status == 503 && come_back && took < 0.2,
+                        "{call:?}: {} after {took} s",
+                        answer.status
+                    );
+                    assert!(told["Error"].as_str().is_some_and(|why| why.contains("not begun")), "{told}");
+                    assert_eq!([round(0), round(1)], rounds, "{call:?} was begun");
+                }
+                Rests::Confirmed => {
+                    assert!(answer.status == 503 && come_back && took < 1.0, "{call:?}: {took} s")
+                }
+                Rests::Sessions => assert!(answer.status == 503 && come_back, "{call:?}: {told}"),
+                Rests::Own => {
+                    assert!(answer.status == 200 && told["Contact"] == false, "{call:?}: {told}");
+                    assert!(
+                        told["ConfirmedSecondsAgo"].as_f64().is_some_and(|ago| ago > 5.0),
+                        "{call:?}: {told}"
+                    );
+                }
+                // One of the two that it hears nothing of is named, and not the other.
+                Rests::Person => {
+                    assert!(answer.status == 409 && told.to_string().contains("10.0.0.3"), "{told}")
+                }
+            }
+            // The first order after the cut is taken: the answer of a majority is not waited for.
+            sound.cut(0, false);
+            if call == Call::Begin {
+                assert_eq!(sound.call(0, call, names, &body).await.0.status, 200);
+            }
+        });
+    }
+}
+
+/// While the system starts, and in the first moments of a cut, an order is begun and waits: it is taken as soon as a majority
+/// answers. Answering such orders at once would cost their senders a pause that grows.
+#[test]
+fn an_order_at_the_start_waits_for_its_majority() {
+    play(async {
+        let sound = Sound::new();
+        sound.cut(1, true);
+        sound.cut(2, true);
+        let heals = async {
+            pass(0.5).await;
+            sound.cut(1, false);
+        };
+        let text = configuration(1, 5);
+        let ((answer, told), ()) = tokio::join!(sound.call(0, Call::Replace, "", &text), heals);
+        assert_eq!((answer.status, &told["InForce"]["ConfigVersion"]), (200, &"00000001".into()), "{told}");
+    });
+}
+
+/// An order that came while this process stood still, of a caller that is gone since: it may have ordered otherwise elsewhere,
+/// so nothing of it is begun. It was: a late `Begin` asked for promises before the end of its connection was looked at.
+#[test]
+fn an_order_whose_caller_is_gone_is_not_begun() {
+    play(async {
+        let gateway = port(NODES[0], Shelf::default());
+        let (out, mut words) = mpsc::channel(256);
+        gateway.links.borrow_mut().insert(NODES[1], out);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        for gone in [true, false] {
+            let mut caller = std::net::TcpStream::connect(at).unwrap();
+            caller.write_all(b"POST /archlink/Evacuation.Begin/east HTTP/1.1\r\n\r\n").unwrap();
+            let kept = (!gone).then_some(caller);
+            let (stream, _) = listener.accept().await.unwrap();
+            let serving = office::serve(gateway.clone(), stream, Default::default(), Default::default());
+            tokio::time::timeout(std::time::Duration::from_secs(3), serving).await.ok();
+            drop(kept);
+            let mut begun = 0;
+            while let Ok(word) = words.try_recv() {
+                begun += u32::from(matches!(word, Word::Poll(_, Poll::Prepare(..))));
+            }
+            assert_eq!(begun == 0, gone, "{begun} promises were asked for");
+        }
+    });
+}
+
+/// What the disk had no room for is entered before any later word goes. It was not: a voter whose queue was full had accepted
+/// a value in memory alone and told it in its next answer; a majority could be counted that no disk holds.
+#[test]
+fn no_word_tells_of_what_the_disk_did_not_take() {
+    play(async {
+        let shelf = Shelf::default();
+        let gateway = port(NODES[0], shelf.clone());
+        let (out, mut words) = mpsc::channel(256);
+        gateway.links.borrow_mut().insert(NODES[1], out);
+        let ballot = Ballot { round: 5, node: NODES[1], nonce: 1 };
+        let held = Held { ballot, stamp: 3, value: "east".into(), marks: Vec::new() };
+        let say = |poll| gateway.hear(NODES[1], Word::Poll(1, poll));
+        shelf.refuse(true);
+        say(Poll::Accept(Register::Evacuations, held));
+        let (next, disk) =
+            (Ballot { round: 6, ..ballot }, |register| shelf.state().slots.get(&register).cloned());
+        say(Poll::Prepare(Register::Chart, next));
+        shelf.refuse(false);
+        say(Poll::Ask(1));
+        pass(0.01).await;
+        let mut told = Ballot::default();
+        while let Ok(word) = words.try_recv() {
+            match word {
+                Word::Poll(_, Poll::Answer(1, ballots)) => told = ballots[1].1,
+                Word::Poll(_, Poll::Accepted(..) | Poll::Promise(..)) => panic!("{word:?} was said"),
+                _ => {}
+            }
+        }
+        assert_eq!(told, ballot);
+        let on_disk = disk(Register::Evacuations).and_then(|slot| slot.held).map(|held| held.ballot);
+        assert_eq!(on_disk, Some(ballot), "it was told of and is on no disk");
+        // With nothing asked any more the next tick brings it to disk.
+        shelf.refuse(true);
+        say(Poll::Prepare(Register::Chart, Ballot { round: 7, ..ballot }));
+        shelf.refuse(false);
+        pass(0.1).await;
+        assert_eq!(disk(Register::Chart).map(|slot| slot.promised.round), Some(7));
+    });
+}
+
+/// One text a number, and both operators can tell from their answers which: the text that stands is acknowledged each time
+/// that it comes, at any gateway; a lower number alters nothing and is told what is in force.
+#[test]
+fn an_answer_tells_what_stands_under_its_number() {
+    play(async {
+        let sound = Sound::new();
+        pass(1.0).await;
+        let (first, second) = (configuration(4, 5), configuration(5, 5));
+        let (_, told) = sound.call(0, Call::Replace, "", &first).await;
+        for n in 0..3 {
+            let (answer, again) = sound.call(n, Call::Replace, "", &first).await;
+            assert_eq!((answer.status, &again["Digest"]), (200, &told["Digest"]));
+        }
+        let (_, newer) = sound.call(1, Call::Replace, "", &second).await;
+        assert!(
+            newer["InForce"]["Digest"] == newer["Digest"] && newer["Digest"] != told["Digest"],
+            "{newer}"
+        );
+        let (read, _) = sound.call(2, Call::Read, "", "").await;
+        assert_eq!(String::from_utf8_lossy(&read.body), second);
+        assert!(String::from_utf8_lossy(&read.lines).contains(newer["Digest"].as_str().unwrap()));
+        let (answer, late) = ask(&sound.ports[2], Call::Replace, "", &first).await;
+        assert_eq!((answer.status, &late["InForce"]), (200, &newer["InForce"]), "{late}");
+    });
+}
