Voters by order: seats pass, and a person founds anew by repeating what was shown

Cause: nobody could say `replace this one`, and with a majority gone for good nobody could say anything. Ruled out: letting the gateway choose what is given up (a gateway cut off alone would found itself); founding from any survivor (what the others hold in addition would be lost unseen). Change: calls and commands on harbour's crew. found-anew asks all gateways that are reached, shows the newest survivor and what may be lost, and orders only where place, epoch and seats are repeated as shown; the gateway wants the seats that it hears nothing of, all of them and no other, and refuses where a majority answers or it has only started. An order at a first start waits until its voters are taken in.

--- a/harbourmaster/src/desk.rs
+++ b/harbourmaster/src/desk.rs
@@ -3,7 +3,7 @@
 
 use crate::calls::Call;
 use crate::orders::{digest, hex};
-use crate::salvage::{Told, survey};
+use crate::salvage::{Told, Words, survey};
 use crate::{MasterError, Outcome, read_settings, voters};
 use chart::Chart;
 use clap::ArgMatches;
@@ -158,7 +158,7 @@
                 200 => serde_json::from_slice::<Value>(&reply.body).map_err(io::Error::other),
                 status => Err(io::Error::other(format!("answered {status}"))),
             });
-            let seats = read.iter().flat_map(|value| value["Seats"].as_array()).flatten();
+            let seats = read.iter().flat_map(|value| value["Members"].as_array()).flatten();
             named.extend(seats.filter_map(|seat| seat["Control"].as_str()?.parse::<SocketAddr>().ok()));
             told.insert(to, read.map_err(|e| e.to_string()));
         }
@@ -167,27 +167,26 @@
     told.into_iter().map(|(to, told)| (to.to_string(), told)).collect()
 }
 
-/// Shows what is left; founds anew only where place, epoch and what is given up are all repeated.
+/// Shows what is left; founds anew only where all that is shown for it is repeated.
 async fn found_anew(below: &ArgMatches) -> Outcome<()> {
-    let word = |name: &str| below.get_one::<String>(name).map(String::as_str);
-    let (said, _) = survey(&ask_all(addresses(below)?).await);
+    let (said, shown) = survey(&ask_all(addresses(below)?).await);
     println!("{said}");
-    let (at, epoch, lose) = match (word("at"), word("epoch"), word("lose")) {
-        (Some(at), Some(epoch), Some(lose)) => (address("--at", at)?, epoch, lose),
-        (None, None, None) => return Ok(()),
-        _ => return Err(failed(MasterError::Call, "--at, --epoch and --lose go together".into())),
+    let word = |name: &str| below.get_one::<String>(name).map_or("", String::as_str);
+    let given = [("--at", word("at")), ("--epoch", word("epoch")), ("--lose", word("lose"))];
+    if given.iter().all(|(_, word)| word.is_empty()) {
+        return Ok(());
+    }
+    let Some(Words { at, epoch, lose }) = shown else {
+        return Err(failed(MasterError::Refused, "there is nothing to found anew, as shown above".into()));
     };
-    let number = epoch.parse::<u64>().change_context(MasterError::Call);
-    let epoch = number.attach_with(|| format!("--epoch: {epoch:?} is no number"))?;
-    let mut names = Vec::new();
-    for name in lose.split(',') {
-        let node = voters::node(name).ok_or_else(|| {
-            failed(MasterError::Call, format!("--lose: {name:?} is no address, as 10.0.0.1"))
-        })?;
-        names.push(Ipv4Addr::from(node).to_string());
+    for ((argument, given), shown) in given.into_iter().zip([&at, &epoch, &lose]) {
+        if given != shown {
+            return Err(failed(MasterError::Call, format!("{argument}: found {given:?}, shown is {shown}")));
+        }
     }
-    let body = json!({"Epoch": epoch, "Lose": names}).to_string();
-    let reply = reply(&[at], Call::VotersRefound, "", body.as_bytes()).await?;
+    let number = epoch.parse::<u64>().change_context(MasterError::Call)?;
+    let body = json!({"Epoch": number, "Lose": lose.split(',').collect::<Vec<_>>()}).to_string();
+    let reply = reply(&[address("--at", &at)?], Call::VotersRefound, "", body.as_bytes()).await?;
     println!("{}", String::from_utf8_lossy(&reply.body));
     Ok(())
 }
--- a/harbourmaster/src/looks.rs
+++ b/harbourmaster/src/looks.rs
@@ -3,14 +3,11 @@
 
 use crate::office::{later, refused};
 use crate::orders::{digest, hex};
-use crate::port::Port;
+use crate::port::{Port, WITHIN};
 use fairway::plain::Answer;
 use serde_json::{Value, json};
 use signal::{Register, evacuated, pack};
 
-/// A caller moves on after a second of silence.
-const WITHIN: f64 = 0.9;
-
 /// The newest configuration, byte for byte as it was sent.
 pub async fn read(port: &Port) -> Answer {
     let Some(held) = port.read(Register::Chart, WITHIN).await else {
--- a/harbourmaster/src/made_up.rs
+++ b/harbourmaster/src/made_up.rs
@@ -1,4 +1,4 @@
-//! Three control gateways on one thread, without sockets: their links are channels that can be cut, their disks are made
+//! Four control gateways, three of which vote, on one thread, without sockets: their links are channels that can be cut, their disks are made
 //! up, their time is the test's own. What the cores, ports and calls are is the program's.
 
 use crate::backlog::Disk;
@@ -22,7 +22,8 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-pub const NODES: [Node; 3] = [0x0a00_0001, 0x0a00_0002, 0x0a00_0003];
+pub const NODES: [Node; 4] = [0x0a00_0001, 0x0a00_0002, 0x0a00_0003, 0x0a00_0004];
+const SEATS: usize = 3;
 const TICK: Duration = Duration::from_millis(50);
 /// One way between two gateways.
 const WAY: Duration = Duration::from_millis(10);
@@ -69,7 +70,8 @@
 
 pub fn settings(node: Node) -> Settings {
     let ip = Ipv4Addr::from(node);
-    let seeds = NODES.map(|node| format!("{}:8200", Ipv4Addr::from(node)));
+    let seeds: Vec<String> =
+        NODES[..SEATS].iter().map(|&node| format!("{}:8200", Ipv4Addr::from(node))).collect();
     let text = json!({
         "NodeName": format!("control-{ip}"), "IpAddress": ip, "Zone": "west", "Region": "coast",
         "Zones": {"east": "coast", "west": "coast"},
@@ -91,9 +93,9 @@
         region: settings.region.clone(),
         control: SocketAddrV4::new(node.into(), 8200),
     };
-    let muster = Muster::first(&NODES);
+    let muster = Muster::first(&NODES[..SEATS]);
     let slots = Some(Default::default());
-    let start = Start { keeper, muster, needed: 3, slots, posts: Vec::new(), seed: u64::from(node) };
+    let start = Start { keeper, muster, needed: SEATS, slots, posts: Vec::new(), seed: u64::from(node) };
     let (kept, mut words) = mpsc::unbounded_channel::<Kept>();
     let control = Control::new(clock.now(), start);
     let port = Port::new(settings, clock, control, Some(Box::new(shelf)), kept);
@@ -119,7 +121,7 @@
 }
 
 impl Sound {
-    /// Three gateways that hear each other.
+    /// All of them, hearing each other.
     pub fn new() -> Sound {
         let shelves: Vec<Shelf> = NODES.iter().map(|_| Shelf::default()).collect();
         let ports: Vec<Rc<Port>> =
--- a/harbourmaster/src/notices.rs
+++ b/harbourmaster/src/notices.rs
@@ -75,13 +75,17 @@
             true => format!("epoch {epoch}: {seats} vote, and {} with them", list(&muster.coming)),
             false => format!("epoch {epoch}: {seats} vote"),
         }];
-        // Epochs in between may have gone by unseen: only what follows from the one before is told as its end.
-        let next = before.known() && epoch == before.epoch + 1;
-        if muster.changing() {
+        // A joint epoch may have gone by between two looks: then its end is told by who votes.
+        let came =
+            if before.changing() { before.coming == muster.seats } else { before.seats != muster.seats };
+        if !before.known() {
+        } else if muster.least_round() != before.least_round() {
+            lines.push(format!("founded anew: {seats}; what other disks hold is void"));
+        } else if muster.changing() {
             lines.push(format!("change of the voters begun: {seats} to {}", list(&muster.coming)));
-        } else if next && before.changing() && muster.seats == before.coming {
+        } else if came {
             lines.push(format!("change of the voters ended: {seats}"));
-        } else if next && before.changing() {
+        } else {
             lines.push(format!("change of the voters rolled back: {seats} as before"));
         }
         lines
--- a/harbourmaster/src/orders.rs
+++ b/harbourmaster/src/orders.rs
@@ -38,6 +38,9 @@
         Err(Unbegun::Contact) => {
             Err(later("not begun: no majority answers this gateway; nothing was altered, nor will be"))
         }
+        Err(Unbegun::Founding) => {
+            Err(later("not begun: the first start has not taken in as many voters as are needed"))
+        }
         Err(Unbegun::Many) => Err(later("not begun: too many orders wait; nothing was altered, nor will be")),
     }
 }
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -27,10 +27,12 @@
 
 /// Orders that wait for their end at once; fewer than the core has room for on each register.
 const MOST_ORDERS: usize = 48;
-/// A caller moves on after a second of silence; an order of the core lives 0.9 s.
+/// A caller moves on after a second of silence.
+pub const WITHIN: f64 = 0.9;
+/// The core ends an order after 0.9 s.
 const MOVES_ON: Duration = Duration::from_millis(950);
-/// The same for a change of the voters, which a person waits for.
-const RESEATS: Duration = Duration::from_millis(2500);
+/// The same for a change of the voters, which a person waits for; the core ends it after 2.5 s.
+const RESEATS: Duration = Duration::from_millis(2700);
 /// Word of a majority counts for so long as contact: as long as a data gateway stays with a control gateway that no majority
 /// answers (`bridge::session`). An order that is begun later in a cut than that would only wait to end unclear.
 pub const FRESH: f64 = 2.0;
@@ -57,6 +59,8 @@
     Contact,
     /// Too many orders wait.
     Many,
+    /// The first start has not taken in as many voters as are needed.
+    Founding,
 }
 
 pub struct Port {
@@ -72,8 +76,6 @@
     pub sessions: RefCell<HashMap<Node, Out>>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Outcome>>>,
     tokens: Cell<u64>,
-    /// When a word of a voter came last; those of epochs before are forgotten.
-    heard: RefCell<HashMap<Node, f64>>,
     /// The configuration in force, read.
     chart: RefCell<Option<Rc<Chart>>>,
     texts: RefCell<News>,
@@ -107,7 +109,6 @@
             sessions: RefCell::default(),
             waiting: RefCell::default(),
             tokens: Cell::new(0),
-            heard: RefCell::default(),
             chart: RefCell::default(),
             texts: RefCell::default(),
             notices: RefCell::default(),
@@ -131,9 +132,6 @@
     }
 
     pub fn hear(&self, from: Node, word: Word) {
-        if from != self.me && self.look(|control, _| control.muster().votes(from)) {
-            self.heard.borrow_mut().insert(from, self.clock.now());
-        }
         self.step(|control, now| control.hear(now, from, word));
     }
 
@@ -236,6 +234,11 @@
         if self.waiting.borrow().len() >= MOST_ORDERS {
             return Err(Unbegun::Many);
         }
+        // While a first start takes its voters in, an order waits for that as it does for a majority.
+        let founded = |control: &Control, now| control.voters(now).founded.then_some(());
+        if self.rung(WITHIN, founded).await.is_none() {
+            return Err(Unbegun::Founding);
+        }
         let token = self.tokens.get();
         self.tokens.set(token + 1);
         let (sender, done) = oneshot::channel();
@@ -284,12 +287,6 @@
         self.rung(PROBE, |_, _| self.fresh().then_some(())).await.is_some()
     }
 
-    /// Seconds since a word of that voter; none where there was none in this life.
-    pub fn heard(&self, node: Node) -> Option<f64> {
-        let at = self.heard.borrow().get(&node).copied();
-        if node == self.me { Some(0.0) } else { at.map(|at| self.clock.now() - at) }
-    }
-
     /// What `found` finds once it does, looked for each time that something is learned or confirmed.
     async fn rung<T>(&self, within: f64, found: impl Fn(&Control, f64) -> Option<T>) -> Option<T> {
         let until = self.clock.now() + within;
@@ -327,7 +324,6 @@
         })
         .into_iter()
         .for_each(|line| log::info!("{line}"));
-        self.look(|control, _| self.heard.borrow_mut().retain(|&node, _| control.muster().votes(node)));
     }
 
     /// A process that stood still knows only what was so before: time passes first, and what has come in meanwhile, ends of
--- a/harbourmaster/src/salvage.rs
+++ b/harbourmaster/src/salvage.rs
@@ -32,6 +32,14 @@
     (text(&held["Register"]), ballot.unwrap_or_default(), text(number))
 }
 
+/// What a person has to repeat for a founding anew.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Words {
+    pub at: String,
+    pub epoch: String,
+    pub lose: String,
+}
+
 /// A voter that answered. The greatest is what to found from: by epoch, then by what its disk has.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct Survivor {
@@ -56,7 +64,8 @@
         }
     }
     let whole = told["DiskWhole"] == true;
-    let seated = told["Seats"].as_array().into_iter().flatten().any(|seat| seat["Here"] == true);
+    let voter = |m: &Value| m["Here"] == true && (m["Seat"] == true || m["Comes"] == true);
+    let seated = told["Members"].as_array().into_iter().flatten().any(voter);
     let holds: Vec<String> =
         held.iter().map(|(register, _, number)| format!("{register} {number}")).collect();
     let (epoch, lost) = (told["Epoch"].as_u64().unwrap_or(0), texts(&told["Lost"]));
@@ -73,7 +82,7 @@
 }
 
 /// What was found, for people; and the command that founds anew, where that is the way out.
-pub fn survey(asked: &[(String, Told)]) -> (String, Option<String>) {
+pub fn survey(asked: &[(String, Told)]) -> (String, Option<Words>) {
     let (mut said, mut newest, mut best) = (Vec::new(), Newest::new(), None);
     let (mut answering, mut silent) = (Vec::new(), Vec::new());
     for (at, told) in asked {
@@ -106,15 +115,15 @@
 }
 
 /// What may be lost with that survivor, and the command that founds from it.
-fn advise(best: Survivor, newest: &Newest, silent: &[String], said: &mut Vec<String>) -> Option<String> {
+fn advise(best: Survivor, newest: &Newest, silent: &[String], said: &mut Vec<String>) -> Option<Words> {
     let Survivor { epoch, whole, at, lost, .. } = best;
     for (register, (_, number, holders)) in newest {
         let holders: Vec<&str> = holders.iter().map(String::as_str).collect();
         said.push(format!("newest {register}: {number}, at {}", holders.join(", ")));
     }
     said.push(format!(
-        "May be lost: whatever was acknowledged after that by a majority of which nobody is left, and epochs after \
-         {epoch}. Not reached: {}.",
+        "Founded anew is what {at} holds. May be lost: whatever only others hold, and whatever was acknowledged by a \
+         majority of which nobody is left. Not reached: {}.",
         or_none(silent)
     ));
     if !whole {
@@ -124,10 +133,10 @@
         said.push(format!("{at} hears all voters: wait, or look at their disks."));
         return None;
     }
-    let order = format!("voters found-anew --at {at} --epoch {epoch} --lose {}", lost.join(","));
+    let words = Words { at, epoch: epoch.to_string(), lose: lost.join(",") };
     said.push("Only where the machines named here never come back, not even one of them:".to_string());
-    said.push(format!("  {order}"));
-    Some(order)
+    said.push(format!("  voters found-anew --at {} --epoch {} --lose {}", words.at, words.epoch, words.lose));
+    Some(words)
 }
 
 #[cfg(test)]
@@ -138,11 +147,11 @@
     fn told(here: &str, epoch: u64, round: u64, contact: bool) -> (String, Told) {
         let seats: Vec<Value> = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
             .iter()
-            .map(|a| json!({"Address": a, "Here": *a == here}))
+            .map(|a| json!({"Address": a, "Seat": true, "Here": *a == here}))
             .collect();
         let held = json!([{"Register": "Chart", "Stamp": round, "ConfigVersion": format!("{:08x}", round - 1),
             "Ballot": [round, 1, 1]}]);
-        let told = json!({"Here": here, "Epoch": epoch, "Seats": seats, "Lost": ["10.0.0.3"], "DiskWhole": true,
+        let told = json!({"Here": here, "Epoch": epoch, "Members": seats, "Lost": ["10.0.0.3"], "DiskWhole": true,
             "Held": held, "Contact": contact});
         (format!("{here}:8200"), Ok(told))
     }
@@ -153,7 +162,8 @@
         let gone = ("10.0.0.3:8200".to_string(), Err("refused".to_string()));
         let asked = [told("10.0.0.1", 4, 9, false), told("10.0.0.2", 5, 7, false), gone];
         let (said, order) = survey(&asked);
-        assert_eq!(order.as_deref(), Some("voters found-anew --at 10.0.0.2:8200 --epoch 5 --lose 10.0.0.3"));
+        let words = Words { at: "10.0.0.2:8200".into(), epoch: "5".into(), lose: "10.0.0.3".into() };
+        assert_eq!(order, Some(words));
         assert!(
             said.contains("newest Chart: 00000008, at 10.0.0.1")
                 && said.contains("10.0.0.3:8200: not reached")
--- a/harbourmaster/src/tests.rs
+++ b/harbourmaster/src/tests.rs
@@ -198,3 +198,65 @@
         assert_eq!((answer.status, &late["InForce"]), (200, &newer["InForce"]), "{late}");
     });
 }
+
+/// A seat passes to another machine by order; each refusal says what to do, and an order that is sent again is told that it
+/// has come.
+#[test]
+fn a_seat_passes_by_order_and_refusals_say_what_to_do() {
+    play(async {
+        let sound = Sound::new();
+        pass(2.0).await;
+        let replace = async |names| sound.call(0, Call::VotersReplace, names, "").await;
+        assert_eq!(replace("10.0.0.3").await.0.status, 400);
+        assert_eq!(replace("10.0.0.3/control-4").await.0.status, 400);
+        for (names, reason) in [
+            ("10.0.0.9/10.0.0.4", "NoSeat"),
+            ("10.0.0.3/10.0.0.1", "Seated"),
+            ("10.0.0.3/10.0.0.9", "Absent"),
+        ] {
+            let (answer, told) = replace(names).await;
+            assert_eq!((answer.status, &told["Reason"]), (409, &reason.into()), "{told}");
+        }
+        sound.cut(2, true);
+        for _ in 0..2 {
+            let (answer, told) = replace("10.0.0.3/10.0.0.4").await;
+            assert_eq!((answer.status, told["Epoch"].as_u64()), (200, Some(3)), "{told}");
+        }
+        pass(1.0).await;
+        assert_eq!(sound.call(3, Call::Voters, "", "").await.1["Members"][3]["Seat"], true);
+    });
+}
+
+/// A founding anew is refused while a majority answers and where other seats are named than those that nothing is heard of;
+/// with these it goes, on what the survivor holds, and orders are taken again.
+#[test]
+fn a_person_founds_anew_by_name_and_only_without_a_majority() {
+    play(async {
+        let sound = Sound::new();
+        pass(1.0).await;
+        assert_eq!(sound.call(0, Call::Replace, "", &configuration(1, 5)).await.0.status, 200);
+        pass(5.0).await;
+        let refound = async |names: &str| {
+            let body = format!(r#"{{"Epoch":1,"Lose":[{names}]}}"#);
+            sound.call(0, Call::VotersRefound, "", &body).await
+        };
+        let refused = async |names, why| {
+            let (answer, told) = refound(names).await;
+            assert!(answer.status == 409 && told["Error"].as_str().unwrap().contains(why), "{told}");
+        };
+        refused(r#""10.0.0.2","10.0.0.3""#, "nothing is lost").await;
+        sound.cut(1, true);
+        sound.cut(2, true);
+        pass(3.0).await;
+        refused(r#""10.0.0.2","10.0.0.3""#, "name exactly these").await;
+        pass(4.0).await;
+        refused(r#""10.0.0.2""#, "10.0.0.2,10.0.0.3").await;
+        assert_eq!(refound(r#""10.0.0.2","control-3""#).await.0.status, 400);
+        assert_eq!(sound.call(0, Call::Replace, "", &configuration(2, 5)).await.0.status, 503);
+        let (answer, told) = refound(r#""10.0.0.2","10.0.0.3""#).await;
+        assert!(answer.status == 200 && told["Epoch"].as_u64() > Some(1 << 32), "{} {told}", answer.status);
+        let (read, _) = sound.call(0, Call::Read, "", "").await;
+        assert_eq!(String::from_utf8_lossy(&read.body), configuration(1, 5));
+        assert_eq!(sound.call(0, Call::Replace, "", &configuration(2, 5)).await.0.status, 200);
+    });
+}
--- a/harbourmaster/src/voters.rs
+++ b/harbourmaster/src/voters.rs
@@ -6,10 +6,12 @@
 use crate::orders::{not_so, settled};
 use crate::port::{Order, Port};
 use fairway::plain::Answer;
+use harbour::control::Member;
+use harbour::crew::Ended;
 use harbour::{Outcome, Reseat};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use signal::{Node, Register};
+use signal::{Ballot, Keeper, Node, Register};
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -29,38 +31,34 @@
 
 /// Voters of which nothing is heard here.
 fn lost(port: &Port) -> BTreeSet<Node> {
-    let voters = port.look(|control, _| control.muster().voters());
-    voters.into_iter().filter(|&node| port.heard(node).is_none_or(|ago| ago > LOST)).collect()
+    let members = port.look(|control, now| control.voters(now).members).into_iter();
+    let silent = |member: &Member| member.heard.is_none_or(|ago| ago > LOST);
+    members.filter(|m| (m.seat || m.comes) && silent(m)).map(|m| m.node).collect()
+}
+
+fn member(member: Member, me: Node, keepers: &[Keeper]) -> Value {
+    let Member { node, zone, seat, comes, heard, whole } = member;
+    let control = keepers.iter().find(|keeper| keeper.node == node).map(|keeper| keeper.control);
+    json!({"Address": address(node), "Control": control, "Zone": zone, "Seat": seat, "Comes": comes,
+        "Here": node == me, "HeardSecondsAgo": heard.map(|ago| (ago * 1e3).round() / 1e3), "DiskWhole": whole})
+}
+
+fn held((register, stamp, ballot): (Register, u64, Ballot)) -> Value {
+    let version = (register == Register::Chart).then(|| format!("{:08x}", stamp.saturating_sub(1)));
+    json!({"Register": format!("{register:?}"), "Stamp": stamp, "ConfigVersion": version,
+        "Ballot": [ballot.round, u64::from(ballot.node), u64::from(ballot.nonce)]})
 }
 
 pub fn look(port: &Port) -> Value {
-    let lost = lost(port);
-    port.look(|control, _| {
-        let muster = control.muster();
-        let keepers = control.journal.roster.keepers();
-        let seats: Vec<Value> = (muster.voters().into_iter())
-            .map(|node| {
-                let keeper = keepers.iter().find(|keeper| keeper.node == node);
-                json!({"Address": address(node), "Control": keeper.map(|k| k.control),
-                    "Zone": keeper.map(|k| &k.zone), "Votes": muster.seats.contains(&node),
-                    "Coming": muster.coming.contains(&node), "Here": node == port.me,
-                    "HeardSecondsAgo": port.heard(node).map(|ago| (ago * 1e3).round() / 1e3)})
-            })
-            .collect();
-        let held: Vec<Value> = (control.voter.slots().into_iter())
-            .filter_map(|(register, slot)| slot.held.map(|held| (register, held)))
-            .map(|(register, held)| {
-                let ballot = held.ballot;
-                let version =
-                    (register == Register::Chart).then(|| format!("{:08x}", held.stamp.saturating_sub(1)));
-                json!({"Register": format!("{register:?}"), "Stamp": held.stamp, "ConfigVersion": version,
-                    "Ballot": [ballot.round, u64::from(ballot.node), u64::from(ballot.nonce)]})
-            })
-            .collect();
-        let lost: Vec<Ipv4Addr> = lost.into_iter().map(address).collect();
-        json!({"Here": address(port.me), "Epoch": muster.epoch, "Seats": seats, "Changing": muster.changing(),
-            "Lost": lost, "DiskWhole": control.voter.whole(), "Held": held})
-    })
+    let lost: Vec<Ipv4Addr> = lost(port).into_iter().map(address).collect();
+    let (voters, keepers, whole) = port
+        .look(|control, now| (control.voters(now), control.journal.roster.keepers(), control.voter.whole()));
+    let changing = voters.muster.changing();
+    let members: Vec<Value> = voters.members.into_iter().map(|m| member(m, port.me, &keepers)).collect();
+    let last = voters.last.map(|(ago, ended)| json!({"SecondsAgo": ago, "Came": ended == Ended::Came}));
+    json!({"Here": address(port.me), "Epoch": voters.muster.epoch, "Founded": voters.founded, "Changing": changing,
+        "Members": members, "Lost": lost, "DiskWhole": whole, "LastChange": last,
+        "Held": voters.holds.into_iter().map(held).collect::<Vec<_>>()})
 }
 
 fn named(text: &str) -> Result<Node, Answer> {
@@ -128,8 +126,8 @@
             format!("the seats that nothing is heard of here are {}: name exactly these", list.join(","));
         return refused(409, why);
     }
-    let seats = port.look(|control, _| control.muster().voters());
-    let seats: Vec<Node> = seats.into_iter().filter(|node| !given_up.contains(node)).collect();
+    let voters = port.look(|control, _| control.muster().voters());
+    let seats: Vec<Node> = voters.into_iter().filter(|node| !given_up.contains(node)).collect();
     log::warn!("founding anew beyond epoch {epoch}; given up: {}", lose.join(","));
     reseat(port, Call::VotersRefound, Reseat::Refound { epoch, seats }).await
 }
