Reads no longer starve confirmation; a number names one text

Cause: each read began a new question and dropped the answers to the one before, so with 24 ms a round trip a read every 20 ms left nothing confirmed; likewise answers slower than the 0.4 s between two questions, as behind slow disks; questions were numbered from nought in each life, so a held-up answer to an earlier life's was counted.

Change: harbour::helm::ask keeps the times of questions out and each voter's newest answer, which counts as of when its question was asked, whichever that was; a reader that comes while a question is out shares the next; numbers begin by chance. harbour::helm::change: another text under a number in the line of the last 64 is told which one stands, once the value that makes it stand is chosen under this ballot. Order of chosen values by founding and stamp (Held::order), so that a stamp that goes back after founding anew still reaches everyone. An order whose caller is gone is not tried anew.

Ruled out: a fixed number of questions with answers of their own each (starves where answers take longer than all of them).

--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -135,7 +135,7 @@
     }
 
     pub fn vector(&self, now: f64) -> Vector {
-        let stamp = |register| self.helm.chosen(register).map_or(0, |held| held.stamp);
+        let stamp = |register| self.helm.chosen(register).map_or(0, |held| held.order());
         Vector {
             chart: stamp(Register::Chart),
             evacuations: stamp(Register::Evacuations),
@@ -168,7 +168,7 @@
             pieces.extend(
                 self.helm
                     .chosen(register)
-                    .filter(|h| h.stamp > stamp)
+                    .filter(|h| h.order() > stamp)
                     .map(|h| Piece::Chosen(register, h.clone())),
             );
         }
--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -4,9 +4,14 @@
 //! It also learns what is chosen, and knows since when a majority has confirmed that. Must never take for chosen what a
 //! majority does not hold on disk under one ballot.
 
+mod ask;
+mod change;
+
+pub use change::{Change, MARKS};
+
 use crate::{Act, Outcome};
-use bytes::Bytes;
-use signal::{Ballot, Held, Muster, Node, Poll, REGISTERS, Register, evacuated, evacuations};
+use ask::Asking;
+use signal::{Ballot, Held, Muster, Node, Poll, Register};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long a change is tried: callers move on after a second of silence.
@@ -14,69 +19,9 @@
 /// One attempt that has not come through by then is begun anew: two round trips of the widest pair of regions and four
 /// slow syncs fit in.
 const ATTEMPT: f64 = 0.35;
-/// Between two questions whether what is held here is the newest.
-const ASK_EVERY: f64 = 0.4;
-/// The same while nothing is confirmed: after a start the links come up one by one, and nobody can be served before.
-const ASK_AT_FIRST: f64 = 0.1;
 /// Changes waiting for their turn on one register; a further one is refused at once.
 const MOST_WAITING: usize = 64;
 
-/// What is to become of a register.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Change {
-    /// The higher version stays.
-    Chart {
-        version: u64,
-        text: Bytes,
-    },
-    Evacuate {
-        zone: String,
-        on: bool,
-    },
-    /// What a majority can't agree on is brought to one value.
-    Settle(Register),
-    /// The next epoch of the set of voters, if the epoch before it stands.
-    Muster(Muster),
-}
-
-impl Change {
-    pub fn register(&self) -> Register {
-        match self {
-            Change::Chart { .. } => Register::Chart,
-            Change::Evacuate { .. } => Register::Evacuations,
-            Change::Settle(register) => *register,
-            Change::Muster(_) => Register::Muster,
-        }
-    }
-
-    /// Stamp and value after the change; as before where it alters nothing, none where there is nothing at all.
-    fn apply(&self, held: Option<&Held>) -> Option<(u64, Bytes)> {
-        let before = held.map(|held| (held.stamp, held.value.clone()));
-        match self {
-            Change::Chart { version, text } if held.is_none_or(|held| held.stamp < version + 1) => {
-                Some((version + 1, text.clone()))
-            }
-            Change::Evacuate { zone, on } => {
-                let mut zones = held.map(|held| evacuated(&held.value)).unwrap_or_default();
-                if *on == zones.contains(zone) && held.is_some() {
-                    return before;
-                }
-                if *on {
-                    zones.insert(zone.clone())
-                } else {
-                    zones.remove(zone)
-                };
-                Some((held.map_or(0, |held| held.stamp) + 1, evacuations(zones)))
-            }
-            // The first set is on no register: it stands until another is chosen.
-            Change::Muster(next) if held.map_or(1, |held| held.stamp) + 1 == next.epoch => {
-                Some((next.epoch, next.to_bytes()))
-            }
-            _ => before,
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Wish {
     change: Change,
@@ -86,9 +31,12 @@
 
 #[derive(Clone, Debug)]
 enum Phase {
-    Waiting { from: f64 },
+    Waiting {
+        from: f64,
+    },
     Preparing(BTreeMap<Node, Option<Held>>),
-    Accepting(Held, BTreeSet<Node>),
+    /// With what the caller is told once it is chosen.
+    Accepting(Held, Outcome, BTreeSet<Node>),
 }
 
 /// The change at work on a register.
@@ -98,15 +46,8 @@
     ballot: Ballot,
     began: f64,
     phase: Phase,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Question {
-    serial: u64,
-    at: f64,
-    answers: BTreeMap<Node, BTreeMap<Register, Ballot>>,
-    /// Questions in a row to which a majority answered, each with something else.
-    split: BTreeMap<Register, u32>,
+    /// Its caller is gone: what was sent out may come to be, but nothing is tried again.
+    last: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -118,22 +59,21 @@
     work: BTreeMap<Register, Work>,
     waiting: BTreeMap<Register, VecDeque<Wish>>,
     chosen: BTreeMap<Register, Held>,
-    confirmed: BTreeMap<Register, f64>,
-    question: Question,
+    asking: Asking,
 }
 
 impl Helm {
     pub fn new(me: Node, seed: u64) -> Helm {
+        let mut chance = oorandom::Rand64::new(u128::from(seed));
         Helm {
             me,
             muster: Muster::default(),
-            chance: oorandom::Rand64::new(u128::from(seed)),
+            asking: Asking::new(chance.rand_u64()),
+            chance,
             round: 0,
             work: BTreeMap::new(),
             waiting: BTreeMap::new(),
             chosen: BTreeMap::new(),
-            confirmed: BTreeMap::new(),
-            question: Question { at: f64::NEG_INFINITY, ..Question::default() },
         }
     }
 
@@ -141,8 +81,7 @@
     pub fn set_muster(&mut self, now: f64, muster: &Muster) -> Vec<Act> {
         self.muster = muster.clone();
         self.round = self.round.max(muster.least_round());
-        self.question.answers.clear();
-        self.question.split.clear();
+        self.asking.anew();
         let busy: Vec<Register> = self.work.keys().copied().collect();
         busy.into_iter().flat_map(|register| self.prepare(now, register)).collect()
     }
@@ -153,7 +92,7 @@
 
     /// When the question was asked to which a majority answered that what is known here is the newest.
     pub fn confirmed(&self, register: Register) -> Option<f64> {
-        self.confirmed.get(&register).copied()
+        self.asking.confirmed(register)
     }
 
     fn to_all(&self, poll: Poll) -> Vec<Act> {
@@ -166,18 +105,24 @@
         self.wish(now, Wish { change, token: Some(token), until: now + LIFE })
     }
 
-    /// The caller is gone: what no voter was asked to accept yet is dropped, so that it can't undo what comes after it.
+    /// The caller is gone: what no voter was asked to accept yet is dropped, and nothing is tried anew, so that it can't
+    /// undo what comes after it.
     pub fn withdraw(&mut self, token: u64) {
         for waiting in self.waiting.values_mut() {
             waiting.retain(|wish| wish.token != Some(token));
         }
-        self.work
-            .retain(|_, work| work.wish.token != Some(token) || matches!(work.phase, Phase::Accepting(..)));
+        self.work.retain(|_, work| {
+            let gone = work.wish.token == Some(token);
+            work.last |= gone;
+            !gone || matches!(work.phase, Phase::Accepting(..))
+        });
     }
 
-    /// Asks the voters at once which ballots they hold.
+    /// Somebody wants to know what holds from now on: the voters are asked which ballots they hold, at once or as soon as a
+    /// majority has answered the question before. Any number of calls costs one question a round trip.
     pub fn ask_now(&mut self, now: f64) -> Vec<Act> {
-        if self.muster.known() { self.ask(now) } else { Vec::new() }
+        self.asking.want(now);
+        self.ask(now)
     }
 
     fn wish(&mut self, now: f64, wish: Wish) -> Vec<Act> {
@@ -194,16 +139,26 @@
         if self.work.contains_key(&register) || !self.muster.known() {
             return Vec::new();
         }
-        let Some(wish) = self.waiting.get_mut(&register).and_then(VecDeque::pop_front) else {
-            return Vec::new();
-        };
-        let phase = Phase::Waiting { from: now };
-        self.work.insert(register, Work { wish, ballot: Ballot::default(), began: now, phase });
-        self.prepare(now, register)
+        let mut acts = Vec::new();
+        while let Some(wish) = self.waiting.get_mut(&register).and_then(VecDeque::pop_front) {
+            if now > wish.until {
+                acts.extend(wish.token.map(|token| Act::Done(token, Outcome::Unclear)));
+                continue;
+            }
+            let phase = Phase::Waiting { from: now };
+            self.work
+                .insert(register, Work { wish, ballot: Ballot::default(), began: now, phase, last: false });
+            acts.extend(self.prepare(now, register));
+            break;
+        }
+        acts
     }
 
     fn prepare(&mut self, now: f64, register: Register) -> Vec<Act> {
         let Some(work) = self.work.get_mut(&register) else { return Vec::new() };
+        if work.last || now > work.wish.until {
+            return self.end(now, register, Outcome::Unclear);
+        }
         self.round += 1;
         let nonce = self.chance.rand_u64() as u32;
         work.ballot = Ballot { round: self.round, node: self.me, nonce };
@@ -223,11 +178,17 @@
     /// What is known to be chosen, from another gateway or from here.
     pub fn learn(&mut self, register: Register, held: &Held) -> Vec<Act> {
         self.round = self.round.max(held.ballot.round);
-        if self.chosen.get(&register).is_some_and(|mine| mine.ballot >= held.ballot) {
+        let mine = self.chosen.get(&register);
+        if mine.is_some_and(|mine| mine.ballot >= held.ballot) {
             return Vec::new();
         }
-        let newer = self.chosen.get(&register).is_none_or(|mine| mine.stamp != held.stamp);
+        // Under one stamp there may be two contents, and the stamp may go back, where a person founded anew between them.
+        let newer = mine.is_none_or(|mine| mine.order() != held.order() || mine.value != held.value);
+        if mine.is_some_and(|mine| mine.founding() != held.founding()) {
+            self.asking.doubt(register);
+        }
         self.chosen.insert(register, held.clone());
+        self.asking.confirm(&self.muster, register, held.ballot);
         if newer { vec![Act::Learned(register)] } else { Vec::new() }
     }
 
@@ -249,9 +210,9 @@
                 }
                 Vec::new()
             }
-            Poll::Answer(serial, ballots) => self.answered(from, *serial, ballots),
+            Poll::Answer(serial, ballots) => self.answered(now, from, *serial, ballots),
             // From one voter alone it is no proof: it counts once a majority names its ballot.
-            Poll::Fetched(register, held) if self.named(*register, held.ballot) => {
+            Poll::Fetched(register, held) if self.asking.names(&self.muster, *register, held.ballot) => {
                 self.learn(*register, held)
             }
             _ => Vec::new(),
@@ -277,12 +238,10 @@
             return Vec::new();
         }
         let newest = promises.values().flatten().max_by_key(|held| held.ballot);
-        let Some((stamp, value)) = work.wish.change.apply(newest) else {
+        let Some((held, outcome)) = work.wish.change.apply(newest, ballot) else {
             return self.end(now, register, Outcome::Chosen);
         };
-        let marks = newest.map(|held| held.marks.clone()).unwrap_or_default();
-        let held = Held { ballot, stamp, value, marks };
-        work.phase = Phase::Accepting(held.clone(), BTreeSet::new());
+        work.phase = Phase::Accepting(held.clone(), outcome, BTreeSet::new());
         self.to_all(Poll::Accept(register, held))
     }
 
@@ -291,58 +250,40 @@
         let Some(work) = self.work.get_mut(&register).filter(|work| work.ballot == ballot) else {
             return Vec::new();
         };
-        let Phase::Accepting(held, yes) = &mut work.phase else { return Vec::new() };
+        let Phase::Accepting(held, outcome, yes) = &mut work.phase else { return Vec::new() };
         yes.insert(from);
         if !muster.enough(|node| yes.contains(&node)) {
             return Vec::new();
         }
-        let held = held.clone();
+        let (held, outcome) = (held.clone(), *outcome);
         let mut acts = self.learn(register, &held);
-        acts.extend(self.end(now, register, Outcome::Chosen));
+        acts.extend(self.end(now, register, outcome));
         acts
     }
 
-    /// Does a majority of the last answers name this ballot?
-    fn named(&self, register: Register, ballot: Ballot) -> bool {
-        let same = |node| self.question.answers.get(&node).is_some_and(|a| a.get(&register) == Some(&ballot));
-        self.muster.enough(same)
-    }
-
-    fn answered(&mut self, from: Node, serial: u64, ballots: &[(Register, Ballot)]) -> Vec<Act> {
-        if serial != self.question.serial {
+    fn answered(&mut self, now: f64, from: Node, serial: u64, ballots: &[(Register, Ballot)]) -> Vec<Act> {
+        if !self.asking.answered(from, serial, ballots) {
             return Vec::new();
         }
-        self.question.answers.insert(from, ballots.iter().copied().collect());
         let mut acts = Vec::new();
-        for register in REGISTERS {
+        for &(register, theirs) in ballots {
             let mine = self.chosen.get(&register).map_or(Ballot::default(), |held| held.ballot);
-            let Some(&theirs) = self.question.answers[&from].get(&register) else { continue };
-            if !self.named(register, theirs) {
-                continue;
-            }
-            self.question.split.remove(&register);
             if theirs == mine {
-                self.confirmed.insert(register, self.question.at);
-            } else if theirs > mine {
+                self.asking.confirm(&self.muster, register, mine);
+            } else if theirs > mine
+                && self.asking.names(&self.muster, register, theirs)
+                && self.asking.fetches(now, register, theirs)
+            {
                 acts.push(Act::Send(from, self.muster.say(Poll::Fetch(register))));
             }
         }
+        // A reader that came meanwhile may be waiting for the next question.
+        acts.extend(self.ask(now));
         acts
     }
 
     /// Attempts that hang are begun anew, changes whose time is up end, and the question is asked again.
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
-        let mut acts = self.tick_work(now);
-        let known = self.confirmed(Register::Chart).is_some();
-        let every = if known { ASK_EVERY } else { ASK_AT_FIRST };
-        if now >= self.question.at + every && self.muster.known() {
-            acts.extend(self.ask(now));
-        }
-        acts
-    }
-
-    /// The same without the question.
-    pub fn tick_work(&mut self, now: f64) -> Vec<Act> {
         let mut acts = Vec::new();
         let busy: Vec<Register> = self.work.keys().chain(self.waiting.keys()).copied().collect();
         for register in busy {
@@ -359,33 +300,24 @@
                 acts.extend(self.prepare(now, register));
             }
         }
+        acts.extend(self.ask(now));
         acts
     }
 
+    /// Asks the voters which ballots they hold, where it is time.
     fn ask(&mut self, now: f64) -> Vec<Act> {
-        // So many questions in a row without one answer of a majority: nobody is about to finish it.
-        const SPLIT: u32 = 2;
+        if !self.muster.known() || !self.asking.due(now, &self.muster) {
+            return Vec::new();
+        }
         let mut acts = Vec::new();
-        if self.muster.enough(|node| self.question.answers.contains_key(&node)) {
-            for register in REGISTERS {
-                let ballots: Vec<Ballot> =
-                    self.question.answers.values().filter_map(|a| a.get(&register).copied()).collect();
-                if ballots.iter().any(|&b| self.named(register, b)) {
-                    continue;
-                }
-                let split = self.question.split.entry(register).or_default();
-                *split += 1;
-                if *split >= SPLIT && !self.work.contains_key(&register) {
-                    *split = 0;
-                    let wish = Wish { change: Change::Settle(register), token: None, until: now + LIFE };
-                    acts.extend(self.wish(now, wish));
-                }
+        for register in self.asking.apart(now, &self.muster) {
+            if !self.work.contains_key(&register) {
+                let wish = Wish { change: Change::Settle(register), token: None, until: now + LIFE };
+                acts.extend(self.wish(now, wish));
             }
         }
-        self.question.serial += 1;
-        self.question.at = now;
-        self.question.answers.clear();
-        acts.extend(self.to_all(Poll::Ask(self.question.serial)));
+        let serial = self.asking.ask(now);
+        acts.extend(self.to_all(Poll::Ask(serial)));
         acts
     }
 }
--- a/harbour/src/news.rs
+++ b/harbour/src/news.rs
@@ -12,7 +12,7 @@
 }
 
 impl News {
-    /// A configuration came into force; its text, unpacked.
+    /// A configuration came into force; the order of its value (`Held::order`) and its text, unpacked.
     pub fn learned_chart(&mut self, stamp: u64, text: Vec<u8>) {
         self.charts.learned(stamp, text);
     }
@@ -26,7 +26,7 @@
     fn narrowed(&mut self, piece: Piece, theirs: &Vector) -> Piece {
         match piece {
             Piece::Chosen(Register::Chart, held) => {
-                let (stamp, base) = (held.stamp, theirs.chart);
+                let (stamp, base) = (held.order(), theirs.chart);
                 let newest = self.charts.newest() == Some(stamp);
                 match self.charts.patch(base).filter(|_| newest) {
                     Some(packed) => Piece::Chart { stamp, base, packed },
--- a/harbourmaster/src/office.rs
+++ b/harbourmaster/src/office.rs
@@ -10,6 +10,7 @@
 use harbour::Outcome;
 use harbour::helm::Change;
 use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
 use signal::{Register, evacuated, pack};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -155,13 +156,20 @@
             return refused(400, e.current_context());
         }
     };
+    // Of the operator's own bytes: packed ones may differ where the text doesn't.
+    let mut digest = [0; 16];
+    digest.copy_from_slice(&Sha256::digest(&text)[..16]);
     let text = match pack::pack(&text, b"") {
         Ok(packed) => packed.into(),
         Err(e) => return refused(413, e),
     };
-    match port.change(Change::Chart { version, text }).await == Outcome::Chosen {
-        true => Answer::json(200, json!({"ConfigVersion": format!("{version:08x}")}).to_string()),
-        false => later("no majority has taken it yet"),
+    match port.change(Change::Chart { version, digest, text }).await {
+        Outcome::Chosen => Answer::json(200, json!({"ConfigVersion": format!("{version:08x}")}).to_string()),
+        Outcome::Stands(mark) => {
+            let digest: String = mark.digest.iter().map(|byte| format!("{byte:02x}")).collect();
+            refused(409, format_args!("another text stands under {version:08x}: sha256 {digest}..."))
+        }
+        _ => later("no majority has taken it yet"),
     }
 }
 
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -146,7 +146,7 @@
                 Ok(chart) => *self.chart.borrow_mut() = Some(Rc::new(chart)),
                 Err(e) => log::error!("the chosen configuration can't be read: {e}"),
             }
-            self.texts.borrow_mut().learned_chart(held.stamp, text);
+            self.texts.borrow_mut().learned_chart(held.order(), text);
         }
         drop(control);
         self.tell_sessions();
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -59,6 +59,19 @@
     pub marks: Vec<Mark>,
 }
 
+impl Held {
+    /// Which founding it is of: a person who founds anew goes beyond the rounds of all before.
+    pub fn founding(&self) -> u64 {
+        self.ballot.round >> muster::ROUND_BITS
+    }
+
+    /// Grows from one chosen value to the next, also where a person founds anew and the stamp goes back. Vectors and
+    /// pieces carry this for the stamp.
+    pub fn order(&self) -> u64 {
+        (self.founding() << muster::ROUND_BITS) | self.stamp
+    }
+}
+
 /// All that a voter has on disk of one register.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Slot {
--- a/signal/src/muster.rs
+++ b/signal/src/muster.rs
@@ -9,7 +9,7 @@
 /// The epochs of one founding: a person who founds anew goes beyond all of them.
 const FOUNDING_BITS: u32 = 32;
 /// Rounds of ballots of one founding: so many attempts are never made.
-const ROUND_BITS: u32 = 40;
+pub(crate) const ROUND_BITS: u32 = 40;
 
 /// The set of voters of an epoch; while it changes, the set that comes as well.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
