--- a/harbourmaster/src/orders.rs
+++ b/harbourmaster/src/orders.rs
@@ -65,7 +65,7 @@
         Err(e) => return refused(413, e),
     };
     let own = Mark { version, digest: digest(text) };
-    let change = Change::Chart { version, text: packed };
+    let change = Change::Chart { version, digest: own.digest, text: packed };
     match settled(port.order(Call::Replace, Order::Change(change)).await) {
         Ok(Outcome::Stands(mark)) => stands(own, mark),
         Ok(Outcome::Refused(why)) => not_so(why),
--- a/harbourmaster/src/tests.rs
+++ b/harbourmaster/src/tests.rs
@@ -2,7 +2,7 @@
 
 use crate::calls::{Call, Rests};
 use crate::made_up::{NODES, Shelf, Sound, ask, configuration, pass, play, port};
-use crate::office;
+use crate::{office, orders};
 use signal::{Ballot, Held, Pilot, Poll, Register, Word};
 use std::io::Write;
 use std::net::SocketAddrV4;
@@ -174,7 +174,8 @@
 }
 
 /// One text a number, and both operators can tell from their answers which: the text that stands is acknowledged each time
-/// that it comes, at any gateway; a lower number alters nothing and is told what is in force.
+/// that it comes, at any gateway; another one under its number is refused by each of them in the same words, also once a
+/// higher one is in force; a lower number alters nothing and is told what is. Both texts were acknowledged.
 #[test]
 fn an_answer_tells_what_stands_under_its_number() {
     play(async {
@@ -186,6 +187,13 @@
             let (answer, again) = sound.call(n, Call::Replace, "", &first).await;
             assert_eq!((answer.status, &again["Digest"]), (200, &told["Digest"]));
         }
+        let other = configuration(4, 6);
+        let (_, refusal) = sound.call(2, Call::Replace, "", &other).await;
+        assert_eq!(
+            (&refusal["Digest"], &refusal["ConfigVersion"]),
+            (&told["Digest"], &told["ConfigVersion"])
+        );
+        assert_eq!(refusal["YourDigest"], orders::hex(&orders::digest(other.as_bytes())));
         let (_, newer) = sound.call(1, Call::Replace, "", &second).await;
         assert!(
             newer["InForce"]["Digest"] == newer["Digest"] && newer["Digest"] != told["Digest"],
@@ -194,6 +202,10 @@
         let (read, _) = sound.call(2, Call::Read, "", "").await;
         assert_eq!(String::from_utf8_lossy(&read.body), second);
         assert!(String::from_utf8_lossy(&read.lines).contains(newer["Digest"].as_str().unwrap()));
+        for n in 0..3 {
+            let (answer, again) = sound.call(n, Call::Replace, "", &other).await;
+            assert_eq!((answer.status, &again), (409, &refusal));
+        }
         let (answer, late) = ask(&sound.ports[2], Call::Replace, "", &first).await;
         assert_eq!((answer.status, &late["InForce"]), (200, &newer["InForce"]), "{late}");
     });
