--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -283,7 +283,7 @@
     }
 
     pub fn vector(&self, now: f64) -> Vector {
-        let stamp = |register| self.standing(register).map_or(0, |held| held.stamp);
+        let stamp = |register| self.standing(register).map_or(0, |held| held.order());
         Vector {
             chart: stamp(Register::Chart),
             evacuations: stamp(Register::Evacuations),
@@ -317,7 +317,7 @@
         {
             pieces.extend(
                 self.standing(register)
-                    .filter(|h| h.stamp > stamp)
+                    .filter(|h| h.order() > stamp)
                     .map(|h| Piece::Chosen(register, h.clone())),
             );
         }
--- a/sounding/src/orders.rs
+++ b/sounding/src/orders.rs
@@ -18,7 +18,10 @@
             return self.ended(node, token, Outcome::Unclear);
         }
         self.step(node, |control, now| match order {
-            Order::Chart { version, text } => control.propose(now, Change::Chart { version, text }, token),
+            Order::Chart { version, text } => {
+                let digest = u128::from(token).to_be_bytes();
+                control.propose(now, Change::Chart { version, digest, text }, token)
+            }
             Order::Zone { zone, on } => control.propose(now, Change::Evacuate { zone, on }, token),
             Order::Reseat(reseat) => control.reseat(now, reseat, token),
         });
