--- a/sounding/src/play.rs
+++ b/sounding/src/play.rs
@@ -280,7 +280,14 @@
 
     /// Everything is well again from here on, and must come right.
     fn quiet(&mut self, plan: &Plan) {
-        self.later.retain(|(_, later)| matches!(later, Later::Withdraw(..)));
+        // What is on its way out goes, and all that is not there comes back.
+        let later = std::mem::take(&mut self.later);
+        let leaving = later.iter().filter_map(|(_, later)| match later {
+            Later::Kill(node, _) => Some(*node),
+            _ => None,
+        });
+        leaving.for_each(|node| self.fleet.kill(node, false));
+        self.later = later.into_iter().filter(|(_, later)| matches!(later, Later::Withdraw(..))).collect();
         self.fleet.heal();
         for node in self.fleet.nodes() {
             self.fleet.set_sync(node, plan.syncs.get(node as usize - 1).copied().unwrap_or(0.0));
--- a/sounding/src/world.rs
+++ b/sounding/src/world.rs
@@ -14,6 +14,8 @@
 const TICK: f64 = 0.05;
 /// What a link that is held up keeps; later words are lost.
 const HELD_UP: usize = 256;
+/// Between two tries to bring a link up, as in the program.
+const GREET: f64 = 0.25;
 
 /// How words travel.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +48,8 @@
     Tick(Node, u64),
     Written(Node, u64),
     Start(Node, bool),
+    /// A link comes up, between two lives.
+    Greet(Node, Node, (u64, u64)),
 }
 
 struct Due {
@@ -221,14 +225,25 @@
         // Links come up anew, and each end says who it is.
         for other in self.nodes() {
             for (from, to) in [(node, other), (other, node)] {
-                if let Some(control) = self.live.get(&from).filter(|_| from != to) {
-                    let greeting = control.greeting();
-                    self.send(from, to, greeting);
+                if from != to && self.live.contains_key(&from) && self.live.contains_key(&to) {
+                    self.greet(from, to);
                 }
             }
         }
     }
 
+    /// First on each link; one that is cut is tried again.
+    fn greet(&mut self, from: Node, to: Node) {
+        if self.cuts.get(&(from, to)).is_some_and(|until| self.now < *until) {
+            let lives = (self.lives[&from], self.lives[&to]);
+            let at = self.now + GREET;
+            return self.push(at, Event::Greet(from, to, lives));
+        }
+        if let Some(greeting) = self.live.get(&from).map(Control::greeting) {
+            self.post(from, to, greeting);
+        }
+    }
+
     /// Ends a gateway at once. What its disk was writing is there whole or not at all; what waited is gone, and with `wipe`
     /// all is. Its open orders are unclear.
     pub fn kill(&mut self, node: Node, wipe: bool) {
@@ -293,7 +308,7 @@
                     frozen.get(to) == Some(&due.at)
                         || stalls.get(&(*from, *to)).is_some_and(|s| s.0 == due.at)
                 }
-                Event::Tick(node, _) => frozen.get(node) == Some(&due.at),
+                Event::Tick(node, _) | Event::Greet(node, ..) => frozen.get(node) == Some(&due.at),
                 Event::Written(..) | Event::Start(..) => true,
             };
             due.at = if waits { now.min(due.at) } else { due.at };
@@ -425,6 +440,7 @@
         let whose = match &event {
             Event::Word(_, to, _) => *to,
             Event::Tick(node, _) | Event::Written(node, _) | Event::Start(node, _) => *node,
+            Event::Greet(from, _, _) => *from,
         };
         if let Some(&until) = self.frozen.get(&whose).filter(|until| **until > self.now) {
             return self.push(until, event);
@@ -442,7 +458,12 @@
                 _ => self.written(node),
             },
             Event::Start(node, first) => self.start(node, first),
-            Event::Tick(..) | Event::Written(..) => {}
+            Event::Greet(from, to, (one, other))
+                if lives(one) && self.live.contains_key(&to) && self.lives[&to] == other =>
+            {
+                self.greet(from, to);
+            }
+            Event::Tick(..) | Event::Written(..) | Event::Greet(..) => {}
         }
     }
 }
