--- a/sounding/src/play.rs
+++ b/sounding/src/play.rs
@@ -320,7 +320,7 @@
     fn settled(&mut self) {
         const LAST_WORD: f64 = 1.0;
         let until = self.fleet.now + CHANGE;
-        let mut still = f64::INFINITY;
+        let mut still = self.fleet.now + LAST_WORD;
         while self.fleet.fault.is_none() {
             let right = self.right();
             let changing = |control: &Control| control.muster().changing();
