--- a/sounding/src/checks.rs
+++ b/sounding/src/checks.rs
@@ -15,7 +15,7 @@
 /// What operators order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
-    Chart { version: u64, text: Bytes },
+    Chart { version: u64, digest: [u8; 16], text: Bytes },
     Zone { zone: String, on: bool },
     Reseat(Reseat),
 }
@@ -108,8 +108,6 @@
     pub lines: BTreeMap<Register, Line>,
     pub musters: BTreeMap<u64, Muster>,
     pub orders: BTreeMap<u64, Given>,
-    /// Also that a text that is acknowledged under a number is the one that stands under it.
-    pub own_text: bool,
     last: BTreeMap<Node, Last>,
 }
 
@@ -188,19 +186,20 @@
         // Tokens that no order has are the test's own.
         let Some(given) = self.orders.get_mut(&token) else { return Ok(()) };
         given.ended.get_or_insert((now, outcome));
-        let (Outcome::Chosen, Some(helm)) = (outcome, helm) else { return Ok(()) };
+        let (Outcome::Chosen | Outcome::Stands(_), Some(helm)) = (outcome, helm) else { return Ok(()) };
         let given = given.clone();
         let line = self.lines.get(&given.order.register());
         let line: Vec<&Seen> = line.map(|line| line.values.values().collect()).unwrap_or_default();
         match &given.order {
-            Order::Chart { version, text } => {
+            Order::Chart { version, text, .. } => {
                 let stamp = helm.chosen(Register::Chart).map_or(0, |held| held.stamp);
                 let stands = line.iter().find(|seen| seen.stamp == version + 1);
                 if stamp <= *version {
                     return Err(format!("{version} is acknowledged, {stamp} is the newest stamp"));
                 }
-                if self.own_text && stands.is_some_and(|seen| seen.value != *text) {
-                    return Err(format!("{text:?} is acknowledged, {stands:?} stands"));
+                let own = stands.is_none_or(|seen| seen.value == *text);
+                if own != (outcome == Outcome::Chosen) {
+                    return Err(format!("{text:?} is told {outcome:?}, {stands:?} stands"));
                 }
             }
             Order::Zone { zone, on } => {
--- a/sounding/src/orders.rs
+++ b/sounding/src/orders.rs
@@ -9,6 +9,11 @@
 use signal::{Duty, Node, Post};
 use std::collections::BTreeSet;
 
+/// The digest of the text that is ordered under that token.
+pub fn digest(token: u64) -> [u8; 16] {
+    u128::from(token).to_be_bytes()
+}
+
 impl Fleet {
     /// An order through a gateway, to end under `token` in `done`; unclear at once where the gateway is not up.
     pub fn order(&mut self, node: Node, token: u64, order: Order) {
@@ -18,7 +23,9 @@
             return self.ended(node, token, Outcome::Unclear);
         }
         self.step(node, |control, now| match order {
-            Order::Chart { version, text } => control.propose(now, Change::Chart { version, text }, token),
+            Order::Chart { version, digest, text } => {
+                control.propose(now, Change::Chart { version, digest, text }, token)
+            }
             Order::Zone { zone, on } => control.propose(now, Change::Evacuate { zone, on }, token),
             Order::Reseat(reseat) => control.reseat(now, reseat, token),
         });
@@ -27,7 +34,7 @@
     /// A configuration with a text that no other order has.
     pub fn replace(&mut self, node: Node, token: u64, version: u64) {
         let text = Bytes::from(format!("version {version} by {node} as {token}"));
-        self.order(node, token, Order::Chart { version, text });
+        self.order(node, token, Order::Chart { version, digest: digest(token), text });
     }
 
     pub fn evacuate(&mut self, node: Node, token: u64, zone: &str, on: bool) {
