Counts: each answer names its question; callers are bound to one name

Cause: adds and totals were matched by order. Totals that found the queue of the connection full were dropped silently, and every later one answered the question before it wherever the number of totals was the same. Calls were taken back by order at the asker too. Totals of the wrong number counted as "not added", and a book without room said so after having added some of the adds.

On the connections that come in at a control gateway each Greet or Hail set the name anew, a word of an earlier connection took the session of a data gateway from its later one, and its end told the loss of a gateway that was there.

Ruled out: matching by the names of the adds (they repeat from request to request), and numbers that start anew with each connection (nothing is gained; now they grow for the process's life).

Change: Adds and Totals carry a serial. tally::frames owns the questions that are out: a later answer settles those it passed over as may be added, one that is doubled, overtaken or never asked finds nothing, one with another number of totals ends the connection, and so do totals that the connection does not take. harbourmaster::callers binds a connection to the first name it gives itself; of two in one name the one that came in last is heard; numbers on it only grow.

--- a/harbourmaster/src/lib.rs
+++ b/harbourmaster/src/lib.rs
@@ -2,6 +2,7 @@
 //! end. Must never take part in a decision.
 #![forbid(unsafe_code)]
 
+mod callers;
 pub mod desk;
 mod links;
 mod lookout;
--- a/harbourmaster/src/links.rs
+++ b/harbourmaster/src/links.rs
@@ -1,12 +1,14 @@
 //! Connections between the system's own processes at a control gateway: one out to each other control gateway, and those
-//! that come in, from control gateways, from data gateways' sessions and from those that count. Owns them and their bounds.
-//! Must never answer for the core: words go in, words come out.
+//! that come in, from control gateways, from data gateways' sessions and from those that count. Owns them and their bounds;
+//! who may say what on one is `callers`'. Must never answer for the core: words go in, words come out.
 
+use crate::callers::{Caller, Speakers, Who};
 use crate::port::Port;
 use futures_util::StreamExt;
 use harbour::journal::Event;
 use mooring::{Out, split};
 use signal::{Node, Word};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -69,10 +71,12 @@
 
 pub async fn listen(port: Rc<Port>, listener: TcpListener) {
     let open = Rc::new(());
+    let speakers = Rc::new(RefCell::new(Speakers::default()));
     loop {
         match listener.accept().await {
             Ok((stream, from)) if Rc::strong_count(&open) <= MOST_CONNECTIONS => {
-                spawn_local(serve(port.clone(), stream, from, open.clone()));
+                let caller = Caller::new(&mut speakers.borrow_mut());
+                spawn_local(serve(port.clone(), stream, from, (speakers.clone(), caller), open.clone()));
             }
             Ok(_) => log::warn!("a connection too many is closed"),
             Err(e) => {
@@ -83,72 +87,67 @@
     }
 }
 
-async fn serve(port: Rc<Port>, stream: TcpStream, from: SocketAddr, _open: Rc<()>) {
+async fn serve(
+    port: Rc<Port>,
+    stream: TcpStream,
+    from: SocketAddr,
+    (speakers, mut caller): (Rc<RefCell<Speakers>>, Caller),
+    _open: Rc<()>,
+) {
     mooring::tune(&stream);
     let (out, mut words) = split(Framed::new(stream, signal::Wire::default()), MOST_WORDS);
     let Ok(Some(first)) = timeout(FIRST_WORD, words.next()).await else { return };
     let mut next = Some(first);
-    let mut who = Who::default();
     while let Some(word) = next {
-        match word {
-            Ok(word) => heard(&port, &mut who, &out, word),
-            Err(e) => {
-                log::warn!("{from}: {e}; the connection ends");
-                break;
-            }
+        let told = word.map_err(|e| e.to_string());
+        let taken = told.and_then(|word| {
+            caller.says(&mut speakers.borrow_mut(), &word).map_err(str::to_string)?;
+            heard(&port, &caller, &out, word).map_err(str::to_string)
+        });
+        if let Err(why) = taken {
+            log::warn!("{from}: {why}; the connection ends");
+            break;
         }
         next = words.next().await;
     }
-    if let Some(node) = who.pilot {
-        let mut sessions = port.sessions.borrow_mut();
-        if sessions.get(&node).is_some_and(|session| session.same_channel(&out)) {
-            sessions.remove(&node);
-            drop(sessions);
-            port.step(|control, now| control.happened(now, Event::Lost(node)));
-        }
+    let last = caller.ends(&mut speakers.borrow_mut());
+    if let (Some(Who::Pilot(node)), true) = (caller.who, last) {
+        port.sessions.borrow_mut().remove(&node);
+        port.step(|control, now| control.happened(now, Event::Lost(node)));
     }
 }
 
-/// Who is at the other end, once it has said so.
-#[derive(Default)]
-struct Who {
-    keeper: Option<Node>,
-    pilot: Option<Node>,
-}
-
-fn heard(port: &Port, who: &mut Who, out: &Out, word: Word) {
-    match word {
-        Word::Greet { ref keeper, .. } => {
-            who.keeper = Some(keeper.node);
-            port.hear(keeper.node, word);
-        }
-        Word::Hail { serial, pilot, clock, terms } => {
-            who.pilot = Some(pilot.node);
+/// Takes a word of a caller that may say it; an error ends the connection.
+fn heard(port: &Port, caller: &Caller, out: &Out, word: Word) -> Result<(), &'static str> {
+    match (word, caller.who) {
+        (Word::Hail { serial, pilot, clock, terms }, _) => {
             port.sessions.borrow_mut().insert(pilot.node, out.clone());
             port.step(|control, now| {
                 control.heard_clock(now, clock);
                 terms.iter().for_each(|&post| control.duties.told(now, 0, post));
                 control.happened(now, Event::Hailed(pilot))
             });
+            // One that is lost is asked for again with the next hail, by another number.
             out.try_send(port.look(|control, now| control.beat(now, serial))).ok();
         }
-        Word::Adds { term, clock, adds } => {
+        (Word::Adds { serial, term, clock, adds }, _) => {
             port.step(|control, now| {
                 control.heard_clock(now, clock);
                 Vec::new()
             });
             let totals = port.count(term, &adds);
-            out.try_send(Word::Totals { clock: port.look(|control, now| control.clock(now)), totals }).ok();
+            let clock = port.look(|control, now| control.clock(now));
+            let answer = Word::Totals { serial, clock, totals };
+            out.try_send(answer).map_err(|_| "it does not read its totals")?;
         }
-        Word::Pull(theirs) if who.pilot.is_some() => {
+        (Word::Pull(theirs), Some(Who::Pilot(_))) => {
             let pieces = port.lacking(&theirs);
             if !pieces.is_empty() {
                 out.try_send(Word::News(pieces)).ok();
             }
         }
-        word => match who.keeper {
-            Some(keeper) => port.hear(keeper, word),
-            None => log::warn!("a word from somebody who has not said who it is"),
-        },
+        (word, Some(Who::Keeper(node))) => port.hear(node, word),
+        _ => return Err("not a word of its own"),
     }
+    Ok(())
 }
--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -15,6 +15,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use tally::asker::{Asker, Quota, Verdict};
+use tally::frames::Settled;
 use tally::share::{Bound, Share};
 use tokio::sync::{Notify, oneshot};
 
@@ -262,13 +263,10 @@
         self.asker.borrow_mut().adds()
     }
 
-    pub fn totals(&self, totals: &[f32]) {
-        self.asker.borrow_mut().totals(self.fleet_clock(), totals);
-        self.settle();
-    }
-
-    pub fn uncounted(&self, count: usize, added: bool) {
-        self.asker.borrow_mut().failed(self.fleet_clock(), count, added);
+    /// What became of adds.
+    pub fn settled(&self, settled: Vec<Settled>) {
+        let now = self.fleet_clock();
+        settled.into_iter().for_each(|one| self.asker.borrow_mut().settled(now, one));
         self.settle();
     }
 
--- a/pilot/src/session.rs
+++ b/pilot/src/session.rs
@@ -6,11 +6,12 @@
 use bridge::session::{Act, Place, Session};
 use futures_util::{Stream, StreamExt};
 use mooring::{Out, split};
-use signal::Word;
+use signal::{Add, Node, Word};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tally::frames::{Frames, Heard, Settled};
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// Between two calls of a holder of the counts that isn't reached.
@@ -85,17 +86,22 @@
     }
 }
 
-/// The connection to the holder of the counts, moved when that changes. Each frame of adds is answered by one of totals.
+/// The connection to the holder of the counts, moved when that changes. Each question's answer names its number.
 pub async fn count(deck: Rc<Deck>) {
+    let mut frames = Frames::default();
     loop {
         deck.set_counted(false);
-        let Some((node, term)) = deck.counter() else {
+        let Some(holder) = deck.counter() else {
             fail_adds(&deck);
             pause(&deck).await;
             continue;
         };
-        match mooring::call(mooring::address_of(node, deck.settings.port)).await {
-            Ok(framed) => talk(&deck, framed, (node, term)).await,
+        match mooring::call(mooring::address_of(holder.0, deck.settings.port)).await {
+            Ok(framed) => {
+                let (out, words) = split(framed, MOST_WORDS);
+                talk(&deck, &mut frames, &out, Box::pin(words), holder).await;
+                deck.settled(frames.hang_up());
+            }
             Err(_) => fail_adds(&deck),
         }
         pause(&deck).await;
@@ -104,8 +110,7 @@
 
 /// What can't be sent is not added.
 fn fail_adds(deck: &Deck) {
-    let adds = deck.adds();
-    deck.uncounted(adds.len(), false);
+    deck.settled(vec![Settled::NotAdded(deck.adds())]);
 }
 
 async fn pause(deck: &Deck) {
@@ -118,66 +123,57 @@
     }
 }
 
-async fn talk(
-    deck: &Deck,
-    framed: tokio_util::codec::Framed<tokio::net::TcpStream, signal::Wire>,
-    holder: (signal::Node, u64),
-) {
-    /// Without any totals for so long while some are due, the connection is given up.
-    const SILENT: Duration = Duration::from_millis(400);
+/// Sends one question; false where the connection does not take it.
+fn ask(deck: &Deck, frames: &mut Frames, out: &Out, term: u64, adds: Vec<Add>) -> bool {
+    match frames.ask(deck.clock.now(), adds) {
+        Ok((serial, adds)) => {
+            let word = Word::Adds { serial, term, clock: deck.fleet_clock(), adds: adds.to_vec() };
+            out.try_send(word).is_ok()
+        }
+        Err(unsent) => {
+            deck.settled(vec![unsent]);
+            true
+        }
+    }
+}
+
+/// Asks and hears until the connection ends, another holds the counts, or this one is silent. What is out then is not
+/// settled.
+async fn talk(deck: &Deck, frames: &mut Frames, out: &Out, mut words: Words, (node, term): (Node, u64)) {
     /// Between two questions of nothing, while the holder does not count yet.
     const PROBE_EVERY: Duration = Duration::from_millis(60);
-    let (out, mut words) = split(framed, MOST_WORDS);
-    let mut frames: std::collections::VecDeque<usize> = std::collections::VecDeque::new();
-    let mut due = Instant::now();
-    let mut probe = Some(due);
-    let lost = loop {
-        if deck.counter() != Some(holder) && frames.is_empty() {
-            break 0;
-        }
+    let mut probe = Some(Instant::now());
+    while deck.counter() == Some((node, term)) || !frames.is_empty() {
+        let due = frames.silent_at().map(|at| deck.clock.instant(at));
         tokio::select! {
-            word = words.next() => match word {
-                Some(Ok(Word::Totals { clock, totals })) => {
-                    deck.heard_clock(clock);
-                    due = Instant::now();
-                    let Some(count) = frames.pop_front() else { break 0 };
-                    let counts = totals.is_some();
-                    match totals {
-                        Some(totals) if totals.len() == count => deck.totals(&totals),
-                        _ => deck.uncounted(count, false),
+            word = words.next() => {
+                let Some(Ok(Word::Totals { serial, clock, totals })) = word else { return };
+                deck.heard_clock(clock);
+                let (heard, settled) = frames.hear(deck.clock.now(), serial, totals);
+                deck.settled(settled);
+                match heard {
+                    Heard::Answer { counts } => {
+                        deck.set_counted(counts);
+                        probe = (!counts).then(|| Instant::now() + PROBE_EVERY);
                     }
-                    deck.set_counted(counts);
-                    probe = (!counts).then(|| Instant::now() + PROBE_EVERY);
+                    Heard::Nobodys => log::warn!("totals to no question that is out: {serial}"),
+                    Heard::Unfit => return log::warn!("totals that do not fit their question"),
                 }
-                _ => break frames.iter().sum(),
-            },
+            }
             _ = deck.to_count.notified() => {
                 let adds = deck.adds();
-                if adds.is_empty() {
-                    continue;
-                }
-                if frames.is_empty() {
-                    due = Instant::now();
-                }
-                frames.push_back(adds.len());
-                let word = Word::Adds { term: holder.1, clock: deck.fleet_clock(), adds };
-                if out.try_send(word).is_err() {
-                    break frames.iter().sum();
+                if !adds.is_empty() && !ask(deck, frames, out, term, adds) {
+                    return;
                 }
             }
-            _ = sleep_until(probe.unwrap_or(due)), if probe.is_some() => {
+            _ = sleep_until(probe.unwrap_or_else(Instant::now)), if probe.is_some() => {
                 probe = None;
-                frames.push_back(0);
-                due = Instant::now();
-                let word = Word::Adds { term: holder.1, clock: deck.fleet_clock(), adds: Vec::new() };
-                if out.try_send(word).is_err() {
-                    break frames.iter().sum();
+                if !ask(deck, frames, out, term, Vec::new()) {
+                    return;
                 }
             }
-            _ = sleep_until(due + SILENT), if !frames.is_empty() => break frames.iter().sum(),
+            _ = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => return,
             _ = deck.turned.notified() => {}
         }
-    };
-    // Sent and not answered: they may have been added.
-    deck.uncounted(lost, true);
+    }
 }
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -248,13 +248,16 @@
         clock: f64,
         terms: Vec<Post>,
     },
+    /// `serial` tells one question of a connection from all others, and its answer names it.
     Adds {
+        serial: u64,
         term: u64,
         clock: f64,
         adds: Vec<Add>,
     },
     /// In the order of the adds; none where this gateway does not hold the counts.
     Totals {
+        serial: u64,
         clock: f64,
         totals: Option<Vec<f32>>,
     },
--- a/tally/src/asker.rs
+++ b/tally/src/asker.rs
@@ -3,13 +3,14 @@
 //! always has room, and its grant is the answer: which host gets the request is decided elsewhere. Where the module would
 //! decide alone it lets nothing on; that is `share`'s part. Must never answer a request twice, or grant what no total let on.
 
+use crate::frames::Settled;
 use archlink::interface::{
     Counted, Effect, Ended, Group, HostLine, Inquiry, LaneTerms, Load, News, Outcome, Outward, PlanTerms,
     Terms,
 };
 use archlink::logic::Gateway;
 use signal::Add;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 /// The wait for a total follows from this as a twentieth of it: far under any goal time, and long enough for the way to
 /// another region and back beside a busy counter.
@@ -76,8 +77,8 @@
     plans: HashMap<String, usize>,
     terms: Vec<PlanTerms>,
     next: u32,
-    /// Names of the calls out, in order.
-    calls: VecDeque<u64>,
+    /// Adds that were given out and are not settled.
+    calls: usize,
 }
 
 fn plan(quota: &Quota) -> PlanTerms {
@@ -130,7 +131,7 @@
         let host = HostLine { host: HOST, size: 1.0, ..HostLine::default() };
         module.list_news(now, &mut hands, News::Whole, &[host]);
         let (plans, terms) = (HashMap::new(), Vec::new());
-        Asker { module, hands, plans, terms, next: 0, calls: VecDeque::new() }
+        Asker { module, hands, plans, terms, next: 0, calls: 0 }
     }
 
     /// The quotas in force from now on. A tenant keeps its number, and with it what is known of its use.
@@ -183,28 +184,25 @@
         self.call(now, |module, hands| module.left(now, hands, id));
     }
 
-    /// Adds to be sent now, in order; each needs one total.
+    /// Adds to be sent now; each comes back once, settled, and those of one name in the order of these calls.
     pub fn adds(&mut self) -> Vec<Add> {
         let adds = std::mem::take(&mut self.hands.adds);
-        self.calls.extend(adds.iter().map(|add| add.name));
+        self.calls += adds.len();
         adds
     }
 
-    /// Totals of the oldest calls out, in order.
-    pub fn totals(&mut self, now: f64, totals: &[f32]) {
-        for &total in totals {
-            let Some(name) = self.calls.pop_front() else { return };
-            let answer = if total.is_finite() { Counted::Total(total.into()) } else { Counted::MayBeAdded };
-            self.call(now, |module, hands| module.counted(now, hands, name, answer));
-        }
-    }
-
-    /// The oldest `count` calls get no total; `added` is whether they may have been added all the same.
-    pub fn failed(&mut self, now: f64, count: usize, added: bool) {
-        let answer = if added { Counted::MayBeAdded } else { Counted::NotAdded };
-        for _ in 0..count {
-            let Some(name) = self.calls.pop_front() else { return };
-            self.call(now, |module, hands| module.counted(now, hands, name, answer));
+    /// What became of adds. A total that is no number says nothing: its add may have been counted.
+    pub fn settled(&mut self, now: f64, settled: Settled) {
+        let (adds, totals, otherwise) = match settled {
+            Settled::Totals(adds, totals) => (adds, totals, Counted::MayBeAdded),
+            Settled::NotAdded(adds) => (adds, Vec::new(), Counted::NotAdded),
+            Settled::MayBeAdded(adds) => (adds, Vec::new(), Counted::MayBeAdded),
+        };
+        self.calls = self.calls.saturating_sub(adds.len());
+        for (n, add) in adds.iter().enumerate() {
+            let total = totals.get(n).filter(|total| total.is_finite());
+            let answer = total.map_or(otherwise, |&total| Counted::Total(total.into()));
+            self.call(now, |module, hands| module.counted(now, hands, add.name, answer));
         }
     }
 
@@ -220,7 +218,7 @@
 
     /// Is there room for more calls?
     pub fn has_room(&self) -> bool {
-        self.calls.len() + self.hands.adds.len() < MOST_CALLS
+        self.calls + self.hands.adds.len() < MOST_CALLS
     }
 
     pub fn woken(&mut self, now: f64) {
--- a/tally/src/book.rs
+++ b/tally/src/book.rs
@@ -24,8 +24,12 @@
 }
 
 impl Book {
-    /// Totals after these adds, in their order; none where a name finds no room. Another term begins with nothing.
+    /// Totals after these adds, in their order; none, and nothing added, where a name finds no room or the term is over. A
+    /// later term begins with nothing.
     pub fn add(&mut self, now: f64, term: u64, adds: &[Add]) -> Option<Vec<f32>> {
+        if term < self.term {
+            return None;
+        }
         if self.term != term {
             self.names.clear();
             self.term = term;
@@ -34,14 +38,18 @@
             self.swept = now;
             self.names.retain(|_, (_, until)| now < *until);
         }
-        adds.iter().map(|add| self.one(now, add)).collect()
+        // "Not added" has to be true of all of them.
+        if self.names.len() + adds.len() > MOST_NAMES {
+            let fresh = adds.iter().filter(|add| !self.names.contains_key(&add.name)).count();
+            if self.names.len() + fresh > MOST_NAMES {
+                return None;
+            }
+        }
+        Some(adds.iter().map(|add| self.one(now, add)).collect())
     }
 
-    fn one(&mut self, now: f64, add: &Add) -> Option<f32> {
+    fn one(&mut self, now: f64, add: &Add) -> f32 {
         const MOST_KEEP: f64 = 60.0;
-        if self.names.len() >= MOST_NAMES && !self.names.contains_key(&add.name) {
-            return None;
-        }
         let fresh = (0.0, now + f64::from(add.keep).clamp(0.0, MOST_KEEP));
         let entry = self.names.entry(add.name).or_insert(fresh);
         if now >= entry.1 {
@@ -50,7 +58,7 @@
         if add.amount.is_finite() {
             entry.0 += f64::from(add.amount);
         }
-        Some(entry.0 as f32)
+        entry.0 as f32
     }
 
     pub fn names(&self) -> usize {
--- a/tally/tests/quota.rs
+++ b/tally/tests/quota.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use tally::asker::{Asker, Quota, Verdict};
 use tally::book::Book;
+use tally::frames::Settled;
 use tally::share::{Bound, Share};
 
 const BOUND: Bound = Bound { window: 5.0, overrun: 0.1, slack: 20.0 };
@@ -14,7 +15,7 @@
     share: Share,
     /// Adds on their way, and when they arrive.
     way: VecDeque<(f64, Vec<Add>)>,
-    back: VecDeque<(f64, Vec<f32>)>,
+    back: VecDeque<(f64, Settled)>,
 }
 
 /// Plays `gateways` for `length` seconds with `pressed` requests a second in all; `reach(gateway, now)` is the counter's
@@ -56,13 +57,16 @@
             while gateway.way.front().is_some_and(|w| w.0 <= now) {
                 let (_, adds) = gateway.way.pop_front().unwrap();
                 match reach(n, now) {
-                    0 => gateway.asker.failed(now, adds.len(), false),
-                    term => gateway.back.push_back((now + WAY, book.add(now, term, &adds).unwrap())),
+                    0 => gateway.asker.settled(now, Settled::NotAdded(adds)),
+                    term => {
+                        let totals = book.add(now, term, &adds).unwrap();
+                        gateway.back.push_back((now + WAY, Settled::Totals(adds, totals)));
+                    }
                 }
             }
             while gateway.back.front().is_some_and(|w| w.0 <= now) {
-                let (_, totals) = gateway.back.pop_front().unwrap();
-                gateway.asker.totals(now, &totals);
+                let (_, settled) = gateway.back.pop_front().unwrap();
+                gateway.asker.settled(now, settled);
             }
             if gateway.asker.wake_at().is_some_and(|at| at <= now) {
                 gateway.asker.woken(now);
