Lookout: an answer told twice is never the next question's

Cause: the platform's protocol ties an answer to its question by order alone, and the kept connection was asked again without a look at what had come on it meanwhile: one surplus answer made every later list one older than it seemed, and could end a list with another one's page. A list of more pages than are asked for was taken for whole.

Ruled out: a connection for each question, which costs two ways more every half second.

Change: before each question the connection has to be quiet, else a new one is opened; an answer that more bytes follow is not taken; a list without end is an error; an instance that is on two pages is taken as the later one has it. `fairway::kept::still` says what an idle connection has to say, for hosts too.

Measured: with the look planted away the test of the doubled answer fails; with it each list is the answer to its own question.

--- a/fairway/src/kept.rs
+++ b/fairway/src/kept.rs
@@ -31,13 +31,23 @@
     _place: Place,
 }
 
-impl<C> Line<C> {
-    /// Nothing was said and nothing ended since the last reply; asks the socket itself.
-    fn quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let socket = socket2::SockRef::from(self.framed.get_ref());
-        let peeked = socket.peek(&mut byte);
-        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) && self.framed.read_buffer().is_empty()
+/// What a connection on which nothing was asked since the last reply has to say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Still {
+    Quiet,
+    Ended,
+    /// Bytes that nobody asked for: they would be taken for the answer to the next question.
+    Spoke,
+}
+
+/// Asks the socket itself, and what was read of it.
+pub fn still<C>(framed: &Framed<TcpStream, C>) -> Still {
+    let mut byte = [MaybeUninit::uninit()];
+    match socket2::SockRef::from(framed.get_ref()).peek(&mut byte) {
+        _ if !framed.read_buffer().is_empty() => Still::Spoke,
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Still::Quiet,
+        Ok(0) | Err(_) => Still::Ended,
+        Ok(_) => Still::Spoke,
     }
 }
 
@@ -82,7 +92,8 @@
         let mut lines = self.lines.borrow_mut();
         let kept = lines.get_mut(&host)?;
         // The one used last comes first, so that spare ones grow old and close.
-        let fit = |line: &Line<C>| line.to == address && self.fresh(line) && line.quiet();
+        let fit =
+            |line: &Line<C>| line.to == address && self.fresh(line) && still(&line.framed) == Still::Quiet;
         std::iter::from_fn(|| kept.pop()).find(fit)
     }
 
--- a/harbourmaster/src/lookout.rs
+++ b/harbourmaster/src/lookout.rs
@@ -3,6 +3,7 @@
 
 use crate::port::Port;
 use chart::seconds;
+use fairway::kept::{Still, still};
 use fairway::plain::{CallerSide, Sending};
 use futures_util::{SinkExt, StreamExt};
 use serde::Deserialize;
@@ -52,18 +53,30 @@
     Ok(Framed::new(stream, CallerSide::new(&[], MOST_BODY, Rc::new(Cell::new(MOST_BODY)))))
 }
 
-async fn page(line: &mut Line, cloud: SocketAddr, token: Option<&str>) -> io::Result<Page> {
+/// Asks one question. The protocol has nothing that ties an answer to its question but their order: a connection that ended
+/// or said anything unasked is not asked again, and an answer that more bytes follow may itself be an earlier question's.
+/// Whoever stops waiting drops the connection with the question.
+async fn page(kept: &mut Option<Line>, cloud: SocketAddr, token: Option<&str>) -> io::Result<Page> {
+    let mut line = match kept.take().filter(|line| still(line) == Still::Quiet) {
+        Some(line) => line,
+        None => open(cloud).await?,
+    };
     let target = token.map_or("/instances".to_string(), |token| format!("/instances?PageToken={token}"));
     let host = cloud.to_string();
     line.send(Sending { method: "GET", target: &target, host: &host, lines: b"", body: b"" }).await?;
     let reply = line.next().await.unwrap_or(Err(io::ErrorKind::UnexpectedEof.into()))?;
+    match still(&line) {
+        Still::Spoke => return Err(io::Error::other("the platform said more than it was asked")),
+        Still::Quiet if reply.keep => *kept = Some(line),
+        _ => {}
+    }
     match reply.status {
         200 => serde_json::from_slice(&reply.body).map_err(io::Error::other),
         status => Err(io::Error::other(format!("the platform answered {status}"))),
     }
 }
 
-async fn list(line: &mut Line, cloud: SocketAddr) -> io::Result<Vec<HostLine>> {
+async fn list(line: &mut Option<Line>, cloud: SocketAddr) -> io::Result<Vec<HostLine>> {
     let (mut lines, mut token) = (Vec::new(), None);
     for _ in 0..MOST_PAGES {
         let Page { instances, next_token } = page(line, cloud, token.as_deref()).await?;
@@ -78,11 +91,14 @@
         }));
         token = next_token;
         if token.is_none() {
-            break;
+            // One that moved from page to page meanwhile is there twice: as the later page has it.
+            lines.reverse();
+            lines.sort_by(|a, b| a.id.cmp(&b.id));
+            lines.dedup_by(|a, b| a.id == b.id);
+            return Ok(lines);
         }
     }
-    lines.sort_by(|a, b| a.id.cmp(&b.id));
-    Ok(lines)
+    Err(io::Error::other("a list without end"))
 }
 
 /// The same hosts, and none turned cold: a cold time that runs out is counted down by those that were told of it.
@@ -103,17 +119,9 @@
             sleep(IDLE).await;
             continue;
         };
-        let asked = timeout(WITHIN, async {
-            let mut open = match line.take() {
-                Some(line) => line,
-                None => open(cloud).await?,
-            };
-            let lines = list(&mut open, cloud).await?;
-            Ok::<_, io::Error>((open, lines))
-        });
-        match asked.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
-            Ok((open, lines)) => {
-                line = Some(open);
+        let asked = timeout(WITHIN, list(&mut line, cloud)).await;
+        match asked.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            Ok(lines) => {
                 if !nothing_new(&seen, &lines) {
                     seen = lines.clone();
                     let version = port.look(|control, _| {
@@ -132,3 +140,87 @@
         sleep(EVERY).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    fn reply(id: &str, token: Option<&str>) -> String {
+        let body = serde_json::json!({"Instances": [{"InstanceId": id, "Service": "s", "Address": "127.0.0.1:1",
+            "Zone": "z", "Capacity": 1, "OperatingState": "available", "ColdLeft": null}], "NextToken": token});
+        let body = body.to_string();
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    }
+
+    /// A platform that says the next of these at each question, whichever connection it comes on.
+    async fn platform(says: Vec<String>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to = listener.local_addr().unwrap();
+        tokio::task::spawn(async move {
+            let mut says = says.into_iter();
+            let mut open = Vec::new();
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut asked = [0; 4096];
+                while stream.read(&mut asked).await.is_ok_and(|read| read > 0) {
+                    let Some(text) = says.next() else { break };
+                    if text.is_empty() {
+                        break;
+                    }
+                    stream.write_all(text.as_bytes()).await.unwrap();
+                }
+                // Whoever asks on another connection was not answered on this one.
+                open.push(stream);
+            }
+        });
+        to
+    }
+
+    fn play<F: Future>(what: F) -> F::Output {
+        tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(what)
+    }
+
+    async fn ids(line: &mut Option<Line>, cloud: SocketAddr) -> Option<String> {
+        let lines = list(line, cloud).await.ok()?;
+        Some(lines.into_iter().map(|line| line.id).collect::<Vec<_>>().join(" "))
+    }
+
+    /// Guards against an answer told twice becoming the next question's: then each list is one older than it seems, for as
+    /// long as the connection stands, and a page of one list ends another.
+    #[test]
+    fn an_answer_told_twice_is_not_the_next_questions() {
+        play(async {
+            let twice = format!("{}{}", reply("old", None), reply("old", None));
+            let cloud = platform(vec![twice, reply("new", None)]).await;
+            let mut line = None;
+            assert_eq!(ids(&mut line, cloud).await, None);
+            assert_eq!(ids(&mut line, cloud).await.as_deref(), Some("new"));
+            line = None;
+            let twice = format!("{}{}", reply("a", Some("2")), reply("z", None));
+            let cloud = platform(vec![twice, reply("a", Some("2")), reply("b", None)]).await;
+            assert_eq!(ids(&mut line, cloud).await, None);
+            assert_eq!(ids(&mut line, cloud).await.as_deref(), Some("a b"));
+            line = None;
+            let cloud = platform(vec![reply("a", Some("2")), reply("a", None)]).await;
+            assert_eq!(ids(&mut line, cloud).await.as_deref(), Some("a"));
+        });
+    }
+
+    /// One that is given up for its silence takes its connection along, and a list without end is none.
+    #[test]
+    fn a_list_given_up_leaves_no_connection_behind() {
+        play(async {
+            let cloud = platform(vec![String::new(), reply("new", None)]).await;
+            let mut line = None;
+            tokio::select! {
+                biased;
+                _ = list(&mut line, cloud) => panic!("nobody answered"),
+                _ = async { for _ in 0..100 { tokio::task::yield_now().await } } => {}
+            }
+            assert!(line.is_none());
+            let endless = (0..=MOST_PAGES).map(|_| reply("a", Some("more"))).collect();
+            assert_eq!(ids(&mut line, platform(endless).await).await, None);
+        });
+    }
+}
--- a/mooring/src/lib.rs
+++ b/mooring/src/lib.rs
@@ -93,10 +93,15 @@
 /// nothing, and what is kept for it would only come late.
 const UNHEARD: Duration = Duration::from_millis(1500);
 const CONNECT: Duration = Duration::from_millis(300);
+/// A connection on which neither side has anything to say is asked after this whether the other end is there at all: the
+/// ends of machines that lost power would fill the places of connections one by one.
+const IDLE: Duration = Duration::from_secs(30);
 
 pub fn tune(stream: &TcpStream) {
     stream.set_nodelay(true).ok();
-    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNHEARD)).ok();
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNHEARD)).ok();
+    socket.set_tcp_keepalive(&socket2::TcpKeepalive::new().with_time(IDLE)).ok();
 }
 
 /// Calls another process of the system.
