A call that may not be repeated goes out once, also where its send breaks off

Cause: any error of a write counted as "not sent whole, so it never ran", and the request went to another host or was refused with 503, although the socket had taken part of it. A host's own 503, 429 or 408 without Not-Executed was handed to the client, to whom it says that the request has not run. An answer to HEAD carried its body, which its reader takes for the beginning of the next answer.

Ruled out: counting what the peer acknowledged (no portable way to read it), and reading on after a failed write for an answer that the host may have given early (the reset discards it).

Change: voyage::Came says how far a hand-off came, and one function says what that means, row by row: nothing taken, another host; some bytes taken, as all taken. The bytes that the socket has not taken are read from the write buffer after a failed flush. Hosts' 408, 429 and 503 that do not say that the request did not run become 502 where it may not be repeated. Codecs keep bodies away from answers to HEAD.

Measured: the rows are played with and without a repeatable request (each_way_to_end_is_its_row); before, a write that broke off gave 503 and a second host.

--- a/fairway/src/plain.rs
+++ b/fairway/src/plain.rs
@@ -110,13 +110,15 @@
     most_body: usize,
     room: Rc<Cell<usize>>,
     head: Option<(Request, Length)>,
+    /// The last request asked for a head alone: a body after it would be read as the next answer.
+    bodiless: bool,
     failed: bool,
 }
 
 impl ServerSide {
     /// `room`: bytes left for large bodies, of all connections together.
     pub fn new(wanted: &'static [&'static str], most_body: usize, room: Rc<Cell<usize>>) -> ServerSide {
-        ServerSide { wanted, most_body, room, head: None, failed: false }
+        ServerSide { wanted, most_body, room, head: None, bodiless: false, failed: false }
     }
 
     /// A request has begun and is not whole.
@@ -176,6 +178,7 @@
                 false => Length::Sized(framed.length.unwrap_or(0)),
             };
             from.advance(length);
+            self.bodiless = read.method == "HEAD";
             self.head = Some((read, body));
         }
         let Some((request, body)) = &mut self.head else { return Ok(None) };
@@ -233,7 +236,9 @@
         head.extend_from_slice(b"\r\n");
         to.reserve(head.len() + body.len());
         to.extend_from_slice(&head);
-        to.extend_from_slice(&body);
+        if !self.bodiless {
+            to.extend_from_slice(&body);
+        }
         Ok(())
     }
 }
@@ -265,11 +270,13 @@
     most_body: usize,
     room: Rc<Cell<usize>>,
     head: Option<(Reply, Length)>,
+    /// The request that is out asks for a head alone.
+    bodiless: bool,
 }
 
 impl CallerSide {
     pub fn new(wanted: &'static [&'static str], most_body: usize, room: Rc<Cell<usize>>) -> CallerSide {
-        CallerSide { wanted, most_body, room, head: None }
+        CallerSide { wanted, most_body, room, head: None, bodiless: false }
     }
 
     fn step(&mut self, from: &mut BytesMut, ended: bool) -> io::Result<Option<Reply>> {
@@ -284,7 +291,7 @@
             let framed = lines(response.headers, self.wanted).ok_or_else(|| broken("reply headers"))?;
             let status = response.code.unwrap_or(0);
             let body = match (framed.chunked, framed.length) {
-                _ if status == 204 || status == 304 => Length::Sized(0),
+                _ if status == 204 || status == 304 || self.bodiless => Length::Sized(0),
                 (true, _) => Length::Chunked(Chunks::default(), BytesMut::new()),
                 (false, Some(length)) => Length::Sized(length),
                 (false, None) => Length::ToEnd,
@@ -344,6 +351,7 @@
 
     fn encode(&mut self, sending: Sending, to: &mut BytesMut) -> io::Result<()> {
         let Sending { method, target, host, lines, body } = sending;
+        self.bodiless = method == "HEAD";
         to.reserve(96 + target.len() + lines.len() + body.len());
         for part in [method, " ", target, " HTTP/1.1\r\nHost: ", host, "\r\n"] {
             to.extend_from_slice(part.as_bytes());
@@ -406,6 +414,20 @@
         assert_eq!(asked(two), ["POST /a None b\"ab\"", "GET /b None b\"\""]);
     }
 
+    /// The body of an answer to HEAD would be the next request's answer to its reader; and none is waited for.
+    #[test]
+    fn an_answer_to_head_has_no_body() {
+        let mut server = ServerSide::new(&[], 100, Rc::new(Cell::new(1000)));
+        let (mut asked, mut said) = (BytesMut::from(&b"HEAD /a HTTP/1.1\r\n\r\n"[..]), BytesMut::new());
+        assert!(matches!(server.decode(&mut asked), Ok(Some(Asked::Request(_)))));
+        server.encode(Answer::json(405, "{}"), &mut said).unwrap();
+        assert!(said.ends_with(b"\r\n\r\n"), "{said:?}");
+        let mut caller = CallerSide::new(&[], 100, Rc::new(Cell::new(1000)));
+        let head = Sending { method: "HEAD", target: "/a", host: "a", lines: b"", body: b"" };
+        caller.encode(head, &mut asked).unwrap();
+        assert!(matches!(caller.decode(&mut said), Ok(Some(Reply { status: 405, .. }))) && said.is_empty());
+    }
+
     /// Whatever bytes come: no panic, and never a body that the head did not announce.
     #[test]
     fn any_bytes_are_requests_or_refused() {
--- a/pilot/src/hand_off.rs
+++ b/pilot/src/hand_off.rs
@@ -3,7 +3,7 @@
 //! take for an answer what does not carry the request's own id, the host's seal and its whole body.
 
 use crate::deck::Deck;
-use crate::voyage::Ended;
+use crate::voyage::Came;
 use berth::choice::{Chosen, End};
 use fairway::kept::Line;
 use fairway::plain::{CallerSide, Reply, Request, Sending};
@@ -35,7 +35,7 @@
 
 /// What came of a hand-off.
 pub struct Outcome {
-    pub how: Ended,
+    pub came: Came,
     pub reply: Option<Reply>,
 }
 
@@ -44,22 +44,21 @@
     Some((parts.next()??, parts.next()??, parts.next()??))
 }
 
-enum Broken {
-    Unsent,
-    Lost(io::Error),
-}
+/// How far it came without an answer, and why.
+type Broken = (Came, io::Error);
 
 async fn exchange(deck: &Deck, to: &Chosen, cargo: &Cargo, until: Instant) -> Result<Reply, Broken> {
+    let nowhere = |why: io::ErrorKind| (Came::Nowhere, io::Error::from(why));
     let line = match deck.kept.take(to.key, to.address.into()) {
         Some(line) => line,
         None => match timeout_at(until, deck.kept.open(to.address.into())).await {
-            Ok(Ok(line)) => line,
-            _ => return Err(Broken::Unsent),
+            Ok(opened) => opened.map_err(|e| (Came::Nowhere, e))?,
+            Err(_) => return Err(nowhere(io::ErrorKind::TimedOut)),
         },
     };
     // A new connection took its time: what is no longer allowed is not sent.
     if !deck.berth.borrow().still(to.key) || Instant::now() >= until {
-        return Err(Broken::Unsent);
+        return Err(nowhere(io::ErrorKind::Interrupted));
     }
     let left = (until - Instant::now()).as_millis().max(1);
     let mut lines = cargo.lines.clone();
@@ -69,6 +68,18 @@
     speak(deck, to.key, line, sending, &cargo.id).await
 }
 
+/// Sends all of it or says how far it came: a socket that took a byte may have passed it on, whatever it says later.
+async fn send(line: &mut Line<CallerSide>, sending: Sending<'_>) -> Result<(), Broken> {
+    // Nothing is written yet: the buffer of a connection between two requests is empty.
+    line.framed.feed(sending).await.map_err(|e| (Came::Untouched, e))?;
+    let whole = line.framed.write_buffer().len();
+    let flushed = SinkExt::<Sending<'_>>::flush(&mut line.framed).await;
+    let taken = whole - line.framed.write_buffer().len();
+    flushed.map_err(|e| (if taken == 0 { Came::Untouched } else { Came::Halfway }, e))
+}
+
+/// One request and its answer. The connection is kept after its own whole answer alone, and only if nothing else came
+/// before it or with it; in all other ends, and when nobody waits for it any more, it closes with this call.
 async fn speak(
     deck: &Deck,
     key: u64,
@@ -76,12 +87,13 @@
     sending: Sending<'_>,
     id: &str,
 ) -> Result<Reply, Broken> {
-    line.framed.send(sending).await.map_err(|_| Broken::Unsent)?;
-    let lost = |text: &str| Broken::Lost(io::Error::new(io::ErrorKind::InvalidData, text.to_string()));
+    send(&mut line, sending).await?;
+    let lost = |cause: io::Error| (Came::Unanswered, cause);
+    let unfit = |text: &str| lost(io::Error::new(io::ErrorKind::InvalidData, text.to_string()));
     for surplus in 0..MOST_SURPLUS {
         let reply = match line.framed.next().await {
-            Some(reply) => reply.map_err(Broken::Lost)?,
-            None => return Err(Broken::Lost(io::ErrorKind::UnexpectedEof.into())),
+            Some(reply) => reply.map_err(lost)?,
+            None => return Err(lost(io::ErrorKind::UnexpectedEof.into())),
         };
         if reply.fields[ATTEMPT_ID].once() != Some(id) {
             // Somebody else's, come late: it is nobody's now. The own one may still follow.
@@ -89,17 +101,17 @@
         }
         let whole = (200..300).contains(&reply.status);
         if reply.fields[CONTENT_ENCODING] != Default::default() {
-            return Err(lost("an encoded body is not the host's"));
+            return Err(unfit("an encoded body is not the host's"));
         }
         if whole && reply.fields[SERVER_SEAL].once().is_none() {
-            return Err(lost("an answer without its seal"));
+            return Err(unfit("an answer without its seal"));
         }
         if reply.keep && surplus == 0 && line.framed.read_buffer().is_empty() {
             deck.kept.keep(key, line, reply.idle);
         }
         return Ok(reply);
     }
-    Err(lost("only other requests' answers"))
+    Err(unfit("only other requests' answers"))
 }
 
 /// Carries one hand-off to its end, tells the berth, and whoever still waits.
@@ -112,31 +124,31 @@
 ) {
     let began = deck.clock.now();
     let ended = timeout_at(until, exchange(&deck, &to, &cargo, until)).await;
-    let (how, end, reply) = match ended {
+    let (came, end, reply) = match ended {
         Ok(Ok(reply)) => {
             let load = reply.fields[SERVER_LOAD].once().and_then(load);
-            match reply.status {
-                421 => (Ended::Declined, End::Elsewhere, None),
-                _ if reply.fields[NOT_EXECUTED].once() == Some("1") => {
-                    (Ended::Declined, End::Full(load), None)
-                }
-                500.. => (Ended::Failed, End::Failed(load), Some(reply)),
-                _ => (Ended::Honoured, End::Answered(load), Some(reply)),
-            }
+            let declined = reply.fields[NOT_EXECUTED].once() == Some("1");
+            let end = match reply.status {
+                421 => End::Elsewhere,
+                _ if declined => End::Full(load),
+                500.. => End::Failed(load),
+                _ => End::Answered(load),
+            };
+            (Came::Answered { status: reply.status, declined }, end, Some(reply))
         }
-        Ok(Err(Broken::Unsent)) => (Ended::Unsent, End::Unreached, None),
-        Ok(Err(Broken::Lost(cause))) => {
+        Ok(Err((came, cause))) => {
             log::debug!("host {}: {cause}", to.id);
-            (Ended::Lost, End::Broken, None)
+            let unsent = matches!(came, Came::Nowhere | Came::Untouched);
+            (came, if unsent { End::Unreached } else { End::Broken }, None)
         }
-        Err(_) => (Ended::Lost, End::Silent, None),
+        Err(_) => (Came::TimeUp, End::Silent, None),
     };
     if end == End::Unreached || end == End::Silent {
         deck.kept.forget(to.key);
     }
     let now = deck.clock.now();
     deck.berth.borrow_mut().ended(now, to.key, now - began, end);
-    done.try_send(Outcome { how, reply }).ok();
+    done.try_send(Outcome { came, reply }).ok();
 }
 
 /// The host's answer as the client gets it.
--- a/pilot/src/request.rs
+++ b/pilot/src/request.rs
@@ -239,7 +239,8 @@
         tokio::select! {
             biased;
             outcome = outcomes.recv() => {
-                let Some(Outcome { how, reply }) = outcome else { return finally(voyage.no_more()) };
+                let Some(Outcome { came, reply }) = outcome else { return finally(voyage.no_more()) };
+                let how = came.ended(asked.route.repeatable);
                 match voyage.ended(how, way.until - deck.clock.now()) {
                     Next::Relay => match reply {
                         Some(reply) => return relayed(reply),
--- a/pilot/src/voyage.rs
+++ b/pilot/src/voyage.rs
@@ -1,6 +1,7 @@
-//! One request's way through hosts, as decisions alone: whether it may go to another host, when a second one is asked
-//! beside a silent first, and which answer the client gets in the end. Does no I/O and reads no clock. Must never let what
-//! may have run be sent again or refused, unless it may be repeated; must never hold back what is given up.
+//! One request's way through hosts, as decisions alone: what the end of a hand-off says of whether it ran, whether it may go
+//! to another host, when a second one is asked beside a silent first, and which answer the client gets in the end. Does no
+//! I/O and reads no clock. Must never let what may have run be sent again or refused, unless it may be repeated; must never
+//! hold back what is given up.
 
 use std::cmp::Ordering;
 
@@ -13,6 +14,49 @@
     pub goal: f64,
 }
 
+/// How far one hand-off came, as its connection and its answer tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    /// No connection in time, refused, or what allowed it was over before its first byte.
+    Nowhere,
+    /// The connection, new or kept, broke before it took a byte.
+    Untouched,
+    /// It broke after it had taken some bytes and not all.
+    Halfway,
+    /// It had taken all, and broke, closed, or said nothing that is this request's own whole answer.
+    Unanswered,
+    /// The time was up, wherever it stood.
+    TimeUp,
+    /// A whole answer under the request's own id; `declined` is the host's own word that it did not run it.
+    Answered { status: u16, declined: bool },
+}
+
+impl Came {
+    /// What that says of the request. The protocol has two words for "it did not run": `Not-Executed` and 421. All else
+    /// hangs on the bytes, of which a socket tells only what it took, not what arrived:
+    ///
+    /// | came | repeatable | not repeatable | why |
+    /// | --- | --- | --- | --- |
+    /// | nowhere, untouched | another host, 503 | another host, 503 | no byte left this machine |
+    /// | halfway | another host, 502 | 502 | a host may begin at the head; only a whole request is sure to be run, but none that a byte left of is sure not to be |
+    /// | unanswered | another host, 502 | 502 | all may have arrived; a kept connection that the host closed at that moment looks the same |
+    /// | time up | 502 | 502 | as unanswered, and nobody waits any more |
+    /// | declined, 421 | another host, 503 | another host, 503 | the host's word |
+    /// | 408, 429, 503 | as they are, 503 after another host | 502 | to a client these say that it has not run; the host did not say that |
+    /// | other 5xx | another host, as it is | as it is | it ran, and that is its answer |
+    /// | all else | as it is | as it is | its answer |
+    pub fn ended(self, repeatable: bool) -> Ended {
+        match self {
+            Came::Nowhere | Came::Untouched => Ended::Unsent,
+            Came::Halfway | Came::Unanswered | Came::TimeUp => Ended::Lost,
+            Came::Answered { declined: true, .. } | Came::Answered { status: 421, .. } => Ended::Declined,
+            Came::Answered { status: 408 | 429 | 503, .. } if !repeatable => Ended::Lost,
+            Came::Answered { status: 500.., .. } => Ended::Failed,
+            Came::Answered { .. } => Ended::Honoured,
+        }
+    }
+}
+
 /// How one hand-off ended, in the words that matter here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -22,9 +66,9 @@
     Failed,
     /// It says that it did not run it: full, late, or another host.
     Declined,
-    /// Not sent whole: it never ran, and the host never saw it.
+    /// No byte of it was sent: it never ran, and the host never saw it.
     Unsent,
-    /// Sent, and no answer that can be used: it may have run.
+    /// Bytes were sent, and there is no answer that can be used: it may have run.
     Lost,
 }
 
@@ -162,6 +206,42 @@
         }
     }
 
+    /// The table of `Came::ended`, each row by what the client gets where no other host is left, and whether one is asked.
+    #[test]
+    fn each_way_to_end_is_its_row() {
+        let own = |status| Came::Answered { status, declined: false };
+        let (again, relay) = (Next::Again { paid: true }, Next::Relay);
+        let unknown = Next::GiveUp(Final::Unknown);
+        for (came, repeated, once) in [
+            (Came::Nowhere, Next::Again { paid: false }, Next::Again { paid: false }),
+            (Came::Untouched, Next::Again { paid: false }, Next::Again { paid: false }),
+            (Came::Halfway, again, unknown),
+            (Came::Unanswered, again, unknown),
+            (Came::TimeUp, again, unknown),
+            (Came::Answered { status: 503, declined: true }, again, again),
+            (Came::Answered { status: 200, declined: true }, again, again),
+            (own(421), again, again),
+            (own(408), relay, unknown),
+            (own(429), relay, unknown),
+            (own(503), again, unknown),
+            (own(500), again, relay),
+            (own(200), relay, relay),
+            (own(404), relay, relay),
+        ] {
+            for (repeatable, next) in [(true, repeated), (false, once)] {
+                let mut voyage = voyage(repeatable);
+                voyage.begins();
+                assert_eq!(voyage.ended(came.ended(repeatable), 1.0), next, "{came:?}, {repeatable}");
+                let never_ran =
+                    came.ended(repeatable) == Ended::Declined || came.ended(repeatable) == Ended::Unsent;
+                assert_eq!(
+                    matches!(voyage.no_more(), Final::ComeBack(_)),
+                    never_ran || next == relay && came != own(500)
+                );
+            }
+        }
+    }
+
     #[test]
     fn a_silent_host_is_doubted_only_where_the_request_may_be_repeated() {
         assert_eq!(voyage(false).doubt_after(0.1), None);
