Play requests against hosts that do all that hosts do to connections

722 plays on loopback without sleeping: pairs of nineteen habits (right, surplus before, with and after, strangers, cut short, closed, reset at each stage, silent and late, full, elsewhere, own failures), with and without a repeatable request, and sends that break off half way. Each request gets its own answer or none, 503 and its like only where no host saw it, at most one host sees one that may not be repeated, and no connection that was not clean is used again.

--- a/pilot/src/lib.rs
+++ b/pilot/src/lib.rs
@@ -5,6 +5,8 @@
 mod deck;
 mod front;
 mod hand_off;
+#[cfg(test)]
+mod played;
 mod request;
 mod session;
 mod voyage;
--- /dev/null
+++ b/pilot/src/played.rs
@@ -0,0 +1,309 @@
+//! Requests played against two hosts on loopback that do to their connections whatever hosts do: each request of a client
+//! gets its own answer or none, and one that may not be repeated reaches at most one host. Nothing here sleeps: a host waits
+//! for what the client has got, and silence ends with the request's own time.
+
+use crate::deck::Deck;
+use crate::{hand_off, request};
+use bridge::views::Event;
+use chart::Settings;
+use fairway::kept::Kept;
+use fairway::plain::{Answer, CallerSide, Field, Request};
+use mooring::Clock;
+use signal::{HostLine, Hosts, Piece, pack};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local, yield_now};
+
+/// What a host does with the next request that comes to any of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Habit {
+    Right,
+    /// After an interim answer.
+    Interim,
+    /// Another request's answer before its own, or in one go with it.
+    StrangerBefore,
+    StrangerWith,
+    /// Its answer a second time, once the client has it.
+    Twice,
+    /// Another request's answer, and no other.
+    StrangerAlone,
+    StrangerEnds,
+    CutHead,
+    CutBody,
+    Closed,
+    ResetUnread,
+    ResetHalfRead,
+    ResetRead,
+    /// Once the client has its answer.
+    ResetIdle,
+    /// Its answer, once the client has given up.
+    Late,
+    Full,
+    Elsewhere,
+    Failed,
+    /// 503, and no word that it did not run.
+    Busy,
+}
+
+use Habit::*;
+
+const HABITS: [Habit; 19] = [
+    Right,
+    Interim,
+    StrangerBefore,
+    StrangerWith,
+    Twice,
+    StrangerAlone,
+    StrangerEnds,
+    CutHead,
+    CutBody,
+    Closed,
+    ResetUnread,
+    ResetHalfRead,
+    ResetRead,
+    ResetIdle,
+    Late,
+    Full,
+    Elsewhere,
+    Failed,
+    Busy,
+];
+
+impl Habit {
+    /// The client has a right to its answer.
+    fn answers(self) -> bool {
+        matches!(self, Right | Interim | StrangerBefore | StrangerWith | Twice | ResetIdle)
+    }
+
+    /// Nothing but a request and its answer was on the connection: it may be used again.
+    fn clean(self) -> bool {
+        matches!(self, Right | Interim | Full | Elsewhere | Failed | Busy)
+    }
+
+    fn silent(self) -> bool {
+        matches!(self, StrangerAlone | Late)
+    }
+
+    /// The host may have run the request.
+    fn ran(self) -> bool {
+        !matches!(self, Full | Elsewhere | ResetUnread)
+    }
+}
+
+struct World {
+    script: RefCell<VecDeque<Habit>>,
+    /// Requests that a host has seen a part of and not declined, with the host.
+    ran: RefCell<Vec<(String, usize)>>,
+    wrong: RefCell<Vec<String>>,
+    /// Answers that the client has, and the bell for each.
+    answered: Cell<usize>,
+    bell: Notify,
+}
+
+fn reply(status: u16, id: &str, lines: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\n{lines}Content-Length: {length}\r\n\r\n{body}")
+}
+
+fn own(id: &str) -> String {
+    reply(200, id, "Server-Seal: s\r\n", &format!("ran {id}"))
+}
+
+/// Reads one head, and the body but for its last part where `half`; its id, none where the connection ended before.
+async fn read(stream: &mut TcpStream, half: bool) -> Option<String> {
+    let (mut bytes, mut part) = (Vec::new(), [0; 16384]);
+    loop {
+        let count = stream.read(&mut part).await.ok().filter(|count| *count > 0)?;
+        bytes.extend_from_slice(&part[..count]);
+        let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else { continue };
+        let head = String::from_utf8_lossy(&bytes[..end]).to_string();
+        let field = |name: &str| head.lines().find_map(|line| Some(line.strip_prefix(name)?.to_string()));
+        let length: usize = field("Content-Length: ").map_or(0, |text| text.parse().unwrap());
+        if half || bytes.len() >= end + 4 + length {
+            return field("Attempt-Id: ");
+        }
+    }
+}
+
+async fn connection(world: Rc<World>, host: usize, mut stream: TcpStream) -> Option<()> {
+    let mut spoilt = false;
+    loop {
+        let next = world.script.borrow().front().copied().unwrap_or(Right);
+        if next == ResetUnread && !spoilt {
+            world.script.borrow_mut().pop_front();
+            return stream.set_zero_linger().ok();
+        }
+        let (before, half) = (world.answered.get(), next == ResetHalfRead);
+        let id = read(&mut stream, half).await?;
+        let habit = world.script.borrow_mut().pop_front().unwrap_or(Right);
+        if spoilt {
+            world.wrong.borrow_mut().push(format!("{id} came on a connection that was not to be used again"));
+        }
+        spoilt = !habit.clean();
+        if habit.ran() {
+            world.ran.borrow_mut().push((id.clone(), host));
+        }
+        let say = match habit {
+            Right | Twice | ResetIdle => own(&id),
+            Interim => format!("HTTP/1.1 100 Continue\r\n\r\n{}", own(&id)),
+            StrangerBefore => own("zero") + &own(&id),
+            StrangerWith => own(&id) + &own("zero"),
+            StrangerAlone | StrangerEnds => own("zero"),
+            CutHead => own(&id)[..30].to_string(),
+            CutBody => own(&id)[..own(&id).len() - 2].to_string(),
+            Closed | ResetUnread | ResetHalfRead | ResetRead | Late => String::new(),
+            Full => reply(503, &id, "Not-Executed: 1\r\n", ""),
+            Elsewhere => reply(421, &id, "", ""),
+            Failed => reply(500, &id, "", ""),
+            Busy => reply(503, &id, "", ""),
+        };
+        stream.write_all(say.as_bytes()).await.ok()?;
+        if let Twice | ResetIdle | Late = habit {
+            while world.answered.get() == before {
+                world.bell.notified().await;
+            }
+        }
+        match habit {
+            Twice | Late => stream.write_all(own(&id).as_bytes()).await.ok()?,
+            ResetHalfRead | ResetRead | ResetIdle => return stream.set_zero_linger().ok(),
+            StrangerEnds | CutHead | CutBody | Closed => return None,
+            _ => {}
+        }
+    }
+}
+
+async fn listen(world: Rc<World>, host: usize, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        spawn_local(connection(world.clone(), host, stream));
+    }
+}
+
+fn deck(hosts: &[SocketAddr]) -> Rc<Deck> {
+    let settings = r#"{"NodeName": "a", "IpAddress": "127.0.0.1", "Zone": "west", "Region": "coast",
+        "Zones": {"west": "coast"}, "Listen": {}, "InternalPorts": [7600], "SeedNodes": [], "FirstStart": false,
+        "Limits": {"MemoryMb": 256, "FileDescriptors": 1024}, "Cloud": {"RatePerS": 1},
+        "TimingBounds": ["RetryBudgetRatio=100,RetryBudgetSlack=100"]}"#;
+    let chart = r#"{"ConfigVersion": "00000001",
+        "RouteTable": {"ColumnNames": ["Designation", "Origin", "PathPrefix", "Category", "MaxAttempts", "Service"],
+            "Records": [["r", "o", "/read", "idempotent", 2, "s"], ["w", "o", "/write", "non_idempotent", 2, "s"]]},
+        "ServiceTable": {"ColumnNames": ["Designation"], "Records": [["s"]]}}"#;
+    let room = Rc::new(Cell::new(64 << 20));
+    let codec = move || CallerSide::new(hand_off::READ, 1 << 20, room.clone());
+    let deck = Deck::new(Settings::read(settings).unwrap(), Clock::start(), Kept::new(64, 5.0, 5.0, codec));
+    let line = |(n, at): (usize, &SocketAddr)| HostLine {
+        id: format!("host-{n}"),
+        service: "s".into(),
+        address: at.to_string().parse().unwrap(),
+        zone: "west".into(),
+        capacity: 4,
+        draining: false,
+        cold_for: 0.0,
+    };
+    let lines = hosts.iter().enumerate().map(line).collect();
+    let packed = pack::pack(chart.as_bytes(), b"").unwrap().into();
+    for piece in [
+        Piece::Chart { stamp: 1, base: 0, packed },
+        Piece::Pilots(vec![mooring::node_of([127, 0, 0, 1].into())]),
+        Piece::Hosts(Hosts { term: 1, version: 1, lines }),
+    ] {
+        let turns = deck.views.borrow_mut().append(deck.clock.now(), Event::Told(piece));
+        deck.turn(turns);
+    }
+    (0..2).for_each(|_| deck.budget.borrow_mut().earn(&deck.budget_rule(), "s", 1));
+    deck
+}
+
+/// A whole request as the front hands it on. Silence takes `millis` at most.
+async fn ask(deck: &Rc<Deck>, target: &str, id: &str, millis: u32, body: usize) -> Answer {
+    let once = |text: &str| Field::Once(text.into());
+    let fields = vec![once(id), once(&millis.to_string()), Field::Absent, Field::Absent, Field::Absent];
+    let (method, target, host) = ("POST".into(), target.into(), once("o"));
+    let body = vec![b'x'; body].into();
+    let request = Request { method, target, host, fields, passed: vec![], body, close: false, held: None };
+    request::respond(deck, request).await
+}
+
+/// Two requests, one after the other, while hosts do what the script says.
+async fn play(script: [Habit; 2], repeatable: bool, body: usize) {
+    let world = Rc::new(World {
+        script: RefCell::new(script.into()),
+        ran: RefCell::default(),
+        wrong: RefCell::default(),
+        answered: Cell::new(0),
+        bell: Notify::new(),
+    });
+    let mut hosts = Vec::new();
+    for n in 0..2 {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(16384).unwrap();
+        socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let listener = socket.listen(8).unwrap();
+        hosts.push(listener.local_addr().unwrap());
+        spawn_local(listen(world.clone(), n, listener));
+    }
+    let deck = deck(&hosts);
+    let millis = if script.iter().any(|habit| habit.silent()) { 90 } else { 20_000 };
+    let target = if repeatable { "/read" } else { "/write" };
+    for (n, id) in ["one", "two"].into_iter().enumerate() {
+        let answer = ask(&deck, target, id, millis, body).await;
+        let ran: Vec<usize> =
+            world.ran.borrow().iter().filter(|(own, _)| own == id).map(|(_, host)| *host).collect();
+        let told = || format!("{script:?}, {repeatable}: {id} got {} and ran at {ran:?}", answer.status);
+        if answer.status == 200 {
+            assert_eq!(answer.body, format!("ran {id}"), "{}", told());
+            assert!(!ran.is_empty(), "{}", told());
+        } else {
+            assert!(answer.body.is_empty(), "{}", told());
+        }
+        // A promise that it has not run.
+        if [408, 421, 429, 503].contains(&answer.status) && !repeatable {
+            assert!(ran.is_empty(), "{}", told());
+        }
+        let different: BTreeSet<usize> = ran.iter().copied().collect();
+        assert!(ran.len() == different.len() && ran.len() <= 1 + usize::from(repeatable), "{}", told());
+        if n == 0 && script[0].answers() && millis > 1000 {
+            assert_eq!(answer.status, 200, "{}", told());
+        }
+        world.answered.set(n + 1);
+        world.bell.notify_waiters();
+        for _ in 0..20 {
+            yield_now().await;
+        }
+    }
+    assert_eq!(*world.wrong.borrow(), Vec::<String>::new(), "{script:?}, {repeatable}");
+}
+
+fn run(plays: &[([Habit; 2], bool)], body: usize, at_once: usize) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    for some in plays.chunks(at_once) {
+        LocalSet::new().block_on(&runtime, async {
+            let played: Vec<_> =
+                some.iter().map(|&(script, again)| spawn_local(play(script, again, body))).collect();
+            for one in played {
+                one.await.unwrap();
+            }
+        });
+    }
+}
+
+fn pairs(first: &[Habit], second: &[Habit]) -> Vec<([Habit; 2], bool)> {
+    let scripts = first.iter().flat_map(|&one| second.iter().map(move |&two| [one, two]));
+    scripts.flat_map(|script| [(script, false), (script, true)]).collect()
+}
+
+/// All pairs of what hosts do, for a request and whatever comes after it: its next host, or the next request.
+#[test]
+fn each_request_gets_its_own_answer_or_none_and_runs_once() {
+    run(&pairs(&HABITS, &HABITS), 10, 32);
+}
+
+/// A body that no socket takes at once: the send itself breaks off, when the host has begun or before.
+#[test]
+fn a_send_that_breaks_off_half_way_goes_nowhere_else() {
+    run(&pairs(&[ResetHalfRead, ResetUnread], &[Right, Late, ResetHalfRead, Full]), 8 << 20, 4);
+}
