--- a/harbourmaster/src/lib.rs
+++ b/harbourmaster/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod backlog;
+mod callers;
 mod calls;
 pub mod desk;
 mod links;
