--- a/harbour/tests/roads/mod.rs
+++ b/harbour/tests/roads/mod.rs
@@ -8,8 +8,6 @@
 use signal::{Duty, Keeper, Muster, Node, Poll, Post, Register, Slot, Word};
 use std::collections::{BTreeMap, BTreeSet};
 
-pub const STEP: f64 = 0.002;
-
 #[derive(Clone, Default)]
 pub struct Disk {
     slots: BTreeMap<Register, Slot>,
@@ -22,11 +20,15 @@
 
 pub struct Roads {
     pub now: f64,
+    /// One step of time.
+    pub fine: f64,
     pub chance: oorandom::Rand64,
     pub live: BTreeMap<Node, Control>,
     disks: BTreeMap<Node, Disk>,
     pub frozen: BTreeMap<Node, f64>,
     pub cut: BTreeSet<(Node, Node)>,
+    /// Ways on which words that ask to accept are lost, and no others.
+    pub unheard: BTreeSet<(Node, Node)>,
     way: Vec<(f64, Node, Node, Word)>,
     /// Each way takes from this to twice as long.
     pub far: f64,
@@ -48,11 +50,13 @@
     pub fn new(seed: u64, seats: Node, size: Node) -> Roads {
         let mut roads = Roads {
             now: 10.0,
+            fine: 0.002,
             chance: oorandom::Rand64::new(u128::from(seed)),
             live: BTreeMap::new(),
             disks: BTreeMap::new(),
             frozen: BTreeMap::new(),
             cut: BTreeSet::new(),
+            unheard: BTreeSet::new(),
             way: Vec::new(),
             far: 0.006,
             lossy: 0.0,
@@ -118,6 +122,9 @@
     fn send(&mut self, from: Node, to: Node, word: Word) {
         if let Word::Poll(_, Poll::Accept(..)) = word {
             self.accepts.insert(from, self.now);
+            if self.unheard.contains(&(from, to)) {
+                return;
+            }
         }
         if from == to {
             return self.way.push((self.now, from, to, word));
@@ -176,7 +183,7 @@
 
     /// One step of time: words arrive, disks take what waits, gateways look at their clocks.
     pub fn turn(&mut self) {
-        self.now += STEP;
+        self.now += self.fine;
         let now = self.now;
         let (due, rest) = std::mem::take(&mut self.way).into_iter().partition(|w| w.0 <= now);
         self.way = rest;
@@ -211,6 +218,16 @@
         self.step(node, |control, now| control.propose(now, change, token));
     }
 
+    /// Until an order has ended; what became of it.
+    pub fn until(&mut self, token: u64) -> Outcome {
+        let until = self.now + 1.0;
+        while self.outcome(token).is_none() {
+            assert!(self.now < until, "no end of order {token}");
+            self.turn();
+        }
+        self.outcome(token).unwrap()
+    }
+
     /// What became of an order, if it has ended.
     pub fn outcome(&self, token: u64) -> Option<Outcome> {
         self.done.iter().find(|(_, t, _)| *t == token).map(|(_, _, outcome)| *outcome)
