--- a/harbourmaster/src/callers.rs
+++ b/harbourmaster/src/callers.rs
@@ -83,7 +83,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use signal::{Keeper, Pilot, Vector};
+    use signal::{Keeper, Muster, Pilot, Poll, Vector};
     use std::net::{Ipv4Addr, SocketAddrV4};
 
     const AT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
@@ -100,7 +100,7 @@
 
     fn greet(node: Node) -> Word {
         let (zone, region) = (String::new(), String::new());
-        Word::Greet { keeper: Keeper { node, zone, region, control: AT }, voters: vec![] }
+        Word::Greet { keeper: Keeper { node, zone, region, control: AT }, muster: Muster::default() }
     }
 
     fn adds(serial: u64) -> Word {
@@ -112,7 +112,7 @@
     fn a_connection_has_one_name_for_life() {
         let pull = || Word::Pull(Vector::default());
         for (words, well) in [
-            (vec![greet(1), Word::Ask(1), greet(1)], true),
+            (vec![greet(1), Word::Poll(1, Poll::Ask(1)), greet(1)], true),
             (vec![greet(1), greet(2)], false),
             (vec![greet(1), hail(1, 1)], false),
             (vec![greet(1), adds(1)], false),
@@ -124,7 +124,7 @@
             (vec![adds(1), adds(1)], false),
             (vec![adds(1), greet(1)], false),
             (vec![pull()], false),
-            (vec![Word::Ask(1)], false),
+            (vec![Word::Poll(1, Poll::Ask(1))], false),
         ] {
             let mut speakers = Speakers::default();
             let mut caller = Caller::new(&mut speakers);
