Command line and one number, played on sockets; who stood still names no old session

The command line is held against a stand-in: 3 where something else stands, nothing founded but by the words that were shown. Two operators under one number hear which text stands, at all gateways, on sockets.

--- a/harbourmaster/src/made_up.rs
+++ b/harbourmaster/src/made_up.rs
@@ -84,8 +84,8 @@
     Settings::read(&text.to_string()).unwrap()
 }
 
-/// One gateway that ticks, with a link to nobody yet.
-pub fn port(node: Node, shelf: Shelf) -> Rc<Port> {
+/// One gateway, with a link to nobody yet, whose process stands still.
+pub fn still(node: Node, shelf: Shelf) -> Rc<Port> {
     let (settings, clock) = (settings(node), Clock::start());
     let keeper = Keeper {
         node,
@@ -99,12 +99,19 @@
     let (kept, mut words) = mpsc::unbounded_channel::<Kept>();
     let control = Control::new(clock.now(), start);
     let port = Port::new(settings, clock, control, Some(Box::new(shelf)), kept);
-    let (on_disk, ticked) = (port.clone(), port.clone());
+    let on_disk = port.clone();
     spawn_local(async move {
         while let Some(then) = words.recv().await {
             on_disk.kept(then);
         }
     });
+    port
+}
+
+/// The same one that runs.
+pub fn port(node: Node, shelf: Shelf) -> Rc<Port> {
+    let port = still(node, shelf);
+    let ticked = port.clone();
     spawn_local(async move {
         loop {
             sleep(TICK).await;
--- a/harbourmaster/src/tests.rs
+++ b/harbourmaster/src/tests.rs
@@ -1,7 +1,7 @@
 //! What each call says where a majority answers, and where none does; and what no word may run ahead of.
 
 use crate::calls::{Call, Rests};
-use crate::made_up::{NODES, Shelf, Sound, ask, configuration, pass, play, port};
+use crate::made_up::{NODES, Shelf, Sound, ask, configuration, pass, play, port, still};
 use crate::{office, orders};
 use signal::{Ballot, Held, Pilot, Poll, Register, Word};
 use std::io::Write;
@@ -133,6 +133,19 @@
     });
 }
 
+/// A process that stood still knows of sessions that are long over. It named their data gateways: what answers came in the
+/// 50 ms before its next tick was from before.
+#[test]
+fn who_stood_still_names_no_session_from_before() {
+    play(async {
+        let gateway = still(NODES[0], Shelf::default());
+        gateway.step(|control, now| control.happened(now, harbour::journal::Event::Hailed(pilot())));
+        assert_eq!(ask(&gateway, Call::Resolution, "", "").await.0.status, 200);
+        pass(20.0).await;
+        assert_eq!(ask(&gateway, Call::Resolution, "", "").await.0.status, 503);
+    });
+}
+
 /// What the disk had no room for is entered before any later word goes. It was not: a voter whose queue was full had accepted
 /// a value in memory alone and told it in its next answer; a majority could be counted that no disk holds.
 #[test]
--- /dev/null
+++ b/harbourmaster/tests/desk.rs
@@ -0,0 +1,103 @@
+//! The command line against a stand-in for a control gateway, written from the table of calls alone: what is sent, what is
+//! printed, and how it ends.
+
+use serde_json::json;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Output};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+
+const STANDS: &str = "11111111111111111111111111111111";
+
+/// Answers one connection after another; tells what was asked, as `METHOD path body`.
+fn stand_in(answer: impl Fn(&str) -> (u16, String) + Send + 'static) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let (told, asked) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            one(stream, &answer, &told);
+        }
+    });
+    (at, asked)
+}
+
+fn one(stream: TcpStream, answer: impl Fn(&str) -> (u16, String), told: &Sender<String>) -> Option<()> {
+    let mut from = BufReader::new(stream.try_clone().ok()?);
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok()?;
+        if line.trim().is_empty() {
+            break;
+        }
+        lines.push(line.trim().to_string());
+    }
+    let length = lines.iter().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    from.read_exact(&mut body).ok()?;
+    let asked = lines[0].trim_end_matches(" HTTP/1.1").to_string();
+    told.send(format!("{asked} {}", String::from_utf8_lossy(&body)).trim().to_string()).ok();
+    let (status, text) = answer(&asked);
+    let head = format!("HTTP/1.1 {status} X\r\nConfig-Version: 00000001\r\nConfirmed-Seconds-Ago: 0.010\r\n");
+    write!(&stream, "{head}Config-Digest: {STANDS}\r\nContent-Length: {}\r\n\r\n{text}", text.len()).ok()
+}
+
+fn run(at: SocketAddr, words: &[&str]) -> (Option<i32>, String) {
+    let program = env!("CARGO_BIN_EXE_archlink-harbourmaster");
+    let to = at.to_string();
+    let Output { status, stdout, stderr } =
+        Command::new(program).args(["--to", to.as_str()]).args(words).output().unwrap();
+    let said = [stdout, stderr].map(|said| String::from_utf8_lossy(&said).into_owned());
+    (status.code(), said.concat())
+}
+
+/// Where another text stands, the end is 3 and the words name both; a text that came damaged is not printed as the one in
+/// force.
+#[test]
+fn a_refusal_ends_with_three_and_names_what_stands() {
+    let (at, _asked) = stand_in(|asked| match asked.starts_with("GET") {
+        true => (200, "{}".to_string()),
+        false => {
+            let told = json!({"Error": "another text stands under this number", "ConfigVersion": "00000001",
+                "Digest": STANDS, "YourDigest": "22"});
+            (409, told.to_string())
+        }
+    });
+    let file = std::env::temp_dir().join(format!("archlink-desk-{}", std::process::id()));
+    let table = |names: &[&str]| json!({"ColumnNames": names, "Records": []});
+    let text = json!({"ConfigVersion": "00000001", "RouteTable": table(&["Designation"]),
+        "ServiceTable": table(&["Designation"])});
+    std::fs::write(&file, text.to_string()).unwrap();
+    let (code, said) = run(at, &["replace", file.to_str().unwrap()]);
+    std::fs::remove_file(&file).unwrap();
+    assert!(code == Some(3) && said.contains(STANDS) && said.contains("yours is of 22"), "{code:?} {said}");
+    let (code, said) = run(at, &["read"]);
+    assert!(code == Some(2) && said.contains("the text that came has digest"), "{code:?} {said}");
+}
+
+/// Nothing is founded anew but by the very words that were shown; each wrong one is named.
+#[test]
+fn nothing_is_founded_but_by_the_words_that_were_shown() {
+    let told = json!({"Here": "10.0.0.1", "Epoch": 7, "DiskWhole": true, "Contact": false,
+        "Members": [{"Address": "10.0.0.1", "Here": true, "Seat": true}], "Lost": ["10.0.0.2", "10.0.0.3"],
+        "Held": [{"Register": "Chart", "Stamp": 5, "ConfigVersion": "00000004", "Ballot": [9, 1, 1]}]});
+    let (at, asked) = stand_in(move |_| (200, told.to_string()));
+    let to = at.to_string();
+    let found =
+        |epoch, lose| run(at, &["voters", "found-anew", "--at", &to, "--epoch", epoch, "--lose", lose]);
+    let (code, said) = run(at, &["voters", "found-anew"]);
+    let shown = format!("voters found-anew --at {at} --epoch 7 --lose 10.0.0.2,10.0.0.3");
+    assert!(code == Some(0) && said.contains(&shown) && said.contains("newest Chart: 00000004"), "{said}");
+    let (code, said) = found("6", "10.0.0.2,10.0.0.3");
+    assert!(code == Some(2) && said.contains("--epoch: found \"6\", shown is 7"), "{said}");
+    let (code, said) = found("7", "10.0.0.2");
+    assert!(code == Some(2) && said.contains("--lose: found"), "{said}");
+    assert!(asked.try_iter().all(|asked| asked == "GET /archlink/voters"));
+    assert_eq!(found("7", "10.0.0.2,10.0.0.3").0, Some(0));
+    let order = r#"POST /archlink/Voters.Refound {"Epoch":7,"Lose":["10.0.0.2","10.0.0.3"]}"#;
+    assert_eq!(asked.try_iter().last().as_deref(), Some(order));
+    let (code, said) = run(at, &["voters", "replace", "10.0.0.2", "control-4"]);
+    assert!(code == Some(2) && said.contains("NEW: \"control-4\" is no address"), "{said}");
+}
--- a/quay/tests/whole.rs
+++ b/quay/tests/whole.rs
@@ -1,6 +1,6 @@
 //! Both programs against stand-ins, on loopback: what a client, a host, the platform and the operator see on their sockets.
 
-use archlink_quay::{Habit, Harbour, configuration, exchange};
+use archlink_quay::{Habit, Harbour, call, configuration, exchange};
 use std::collections::BTreeSet;
 
 /// Ready to serve: a configuration with that rate for the tenant `lab`, and two hosts in two zones.
@@ -115,6 +115,38 @@
     harbour.until("it is read back", |h| read(h, 1) == Some(configuration(1, 50)));
 }
 
+/// Two operators send different texts under one number to two gateways at once: one is acknowledged, the other is told which
+/// text stands, and both hear the same at every gateway for good. Both were acknowledged once.
+#[test]
+fn two_operators_under_one_number_hear_which_text_stands() {
+    let harbour = harbour(7, 50);
+    let texts = [configuration(2, 60), configuration(2, 70)];
+    let send = |at, text: &str| loop {
+        // A 503 settles nothing: the same order sent again tells.
+        let answer = call(at, "POST", "/archlink/Configuration.Replace", &[], text);
+        if let Some(answer) = answer.filter(|answer| answer.status() != 503) {
+            return (answer.status(), serde_json::from_str::<serde_json::Value>(&answer.body).unwrap());
+        }
+    };
+    let (first, second) = (harbour.control(0), harbour.control(1));
+    let (one, two) = std::thread::scope(|scope| {
+        let one = scope.spawn(|| send(first, &texts[0]));
+        let two = scope.spawn(|| send(second, &texts[1]));
+        (one.join().unwrap(), two.join().unwrap())
+    });
+    let mut statuses = [one.0, two.0];
+    statuses.sort_unstable();
+    assert_eq!((statuses, &one.1["Digest"]), ([200, 409], &two.1["Digest"]), "{} {}", one.1, two.1);
+    for n in 0..3 {
+        let again = [send(harbour.control(n), &texts[0]), send(harbour.control(n), &texts[1])];
+        assert_eq!([again[0].0, again[1].0], [one.0, two.0], "gateway {n}");
+        assert!(again.iter().all(|(_, told)| told["Digest"] == one.1["Digest"]), "gateway {n}");
+    }
+    let stands = harbour.operator(2, "GET", "Configuration.Read", "").unwrap();
+    assert_eq!(stands.body, texts[usize::from(one.0 != 200)]);
+    assert_eq!(stands.header("config-digest"), one.1["Digest"].as_str().unwrap());
+}
+
 /// Requests hidden in others, doubled headers and lying lengths get a plain 4xx, and no host sees any of it.
 #[test]
 fn smuggling_reaches_no_host() {
