--- a/harbourmaster/src/desk.rs
+++ b/harbourmaster/src/desk.rs
@@ -4,8 +4,7 @@
 use crate::calls::Call;
 use crate::orders::{digest, hex};
 use crate::salvage::{Told, Words, survey};
-use crate::{MasterError, Outcome, read_settings, voters};
-use chart::Chart;
+use crate::{MasterError, Outcome, orders, read_settings, voters};
 use clap::ArgMatches;
 use error_stack::{Report, ResultExt};
 use fairway::plain::{CallerSide, Reply, Sending};
@@ -136,7 +135,7 @@
 fn checked(below: &ArgMatches) -> Outcome<Vec<u8>> {
     let file = below.get_one::<String>("FILE").map_or("", String::as_str);
     let text = std::fs::read(file).change_context(MasterError::File).attach_with(|| file.to_string())?;
-    let chart = Chart::read(&text).change_context(MasterError::File).attach_with(|| file.to_string())?;
+    let chart = orders::checked(&text).map_err(|why| failed(MasterError::File, format!("{file}: {why}")))?;
     let (routes, services, tenants) = (chart.routes.len(), chart.services.len(), chart.tenants.len());
     let (version, digest) = (chart.version, hex(&digest(&text)));
     eprintln!(
--- a/harbourmaster/src/orders.rs
+++ b/harbourmaster/src/orders.rs
@@ -45,20 +45,26 @@
     }
 }
 
-/// Beyond what an operator's counts come to, and so that the next number is one as well.
-const MOST_VERSION: u64 = u64::MAX >> 1;
+/// The number of a configuration and the count of foundings share 64 bits where gateways compare what they hold.
+const MOST_VERSION: u64 = (1 << 40) - 2;
+
+/// A configuration that may be sent; else the refusal, which rests on the text alone.
+pub fn checked(text: &[u8]) -> Result<Chart, String> {
+    let chart = Chart::read(text).map_err(|e| e.current_context().to_string())?;
+    match chart.version {
+        ..=MOST_VERSION => Ok(chart),
+        version => Err(format!("ConfigVersion: found {version:x}, allowed is {MOST_VERSION:x} at most")),
+    }
+}
 
 pub async fn replace(port: &Port, text: &Bytes) -> Answer {
-    let version = match Chart::read(text) {
+    let version = match checked(text) {
         Ok(chart) => chart.version,
-        Err(e) => {
-            log::warn!("a configuration is refused: {e}");
-            return refused(400, e.current_context());
+        Err(why) => {
+            log::warn!("a configuration is refused: {why}");
+            return refused(400, why);
         }
     };
-    if version > MOST_VERSION {
-        return refused(400, "ConfigVersion: too large");
-    }
     let packed: Bytes = match pack::pack(text, b"") {
         Ok(packed) if packed.len() <= MOST_PACKED => packed.into(),
         Ok(_) => return refused(413, "the configuration is too large to be sent between control gateways"),
--- a/harbourmaster/src/port.rs
+++ b/harbourmaster/src/port.rs
@@ -40,9 +40,9 @@
 /// after a loss of power of all nobody has an answer yet: an order that waits then is taken the moment that a majority is
 /// there, while one that is sent away comes back after a pause that grows.
 pub const YOUNG: f64 = 5.0;
-/// For so long an order waits for word of a majority where the last is old: two ways between the widest pair of regions and
-/// a slow sync fit in.
-const PROBE: f64 = 0.15;
+/// For so long an order waits for word of a majority where the last is old: what was asked in vain is asked again after 0.1 s
+/// and a tick; two ways between the widest pair of regions and a slow sync fit in besides.
+const PROBE: f64 = 0.25;
 /// Several ticks are due in that time: without one this process stood still.
 const STOOD_STILL: f64 = 0.25;
 
--- a/harbourmaster/src/tests.rs
+++ b/harbourmaster/src/tests.rs
@@ -56,7 +56,7 @@
             match call.rests() {
                 Rests::Contact => {
                     assert!(
-                        answer.status == 503 && come_back && took < 0.2,
+                        answer.status == 503 && come_back && took < 0.3,
                         "{call:?}: {} after {took} s",
                         answer.status
                     );
@@ -194,6 +194,12 @@
     play(async {
         let sound = Sound::new();
         pass(1.0).await;
+        // A number beyond all counting ended the process, or came to stand below all others.
+        let (answer, told) = sound.call(0, Call::Replace, "", &configuration(u64::MAX, 5)).await;
+        assert!(
+            answer.status == 400 && told["Error"].to_string().contains("ConfigVersion: found ffff"),
+            "{told}"
+        );
         let (first, second) = (configuration(4, 5), configuration(5, 5));
         let (_, told) = sound.call(0, Call::Replace, "", &first).await;
         for n in 0..3 {
