--- a/signal/src/muster.rs
+++ b/signal/src/muster.rs
@@ -12,7 +12,7 @@
 /// to two sets under one epoch.
 const CHANGE_BITS: u32 = 16;
 /// Rounds of ballots of one founding: so many attempts are never made.
-const ROUND_BITS: u32 = 40;
+pub(crate) const ROUND_BITS: u32 = 40;
 
 /// The set of voters of an epoch; while it changes, the set that comes as well.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
