--- a/harbourmaster/src/tests.rs
+++ b/harbourmaster/src/tests.rs
@@ -1,7 +1,7 @@
 //! What each call says where a majority answers, and where none does; and what no word may run ahead of.
 
 use crate::calls::{Call, Rests};
-use crate::made_up::{NODES, Shelf, Sound, ask, configuration, pass, play, port};
+use crate::made_up::{NODES, Shelf, Sound, ask, configuration, pass, play, port, still};
 use crate::{office, orders};
 use signal::{Ballot, Held, Pilot, Poll, Register, Word};
 use std::io::Write;
@@ -56,7 +56,7 @@
             match call.rests() {
                 Rests::Contact => {
                     assert!(
-                        answer.status == 503 && come_back && took < 0.2,
+                        answer.status == 503 && come_back && took < 0.3,
                         "{call:?}: {} after {took} s",
                         answer.status
                     );
@@ -133,6 +133,19 @@
     });
 }
 
+/// A process that stood still knows of sessions that are long over. It named their data gateways: what answers came in the
+/// 50 ms before its next tick was from before.
+#[test]
+fn who_stood_still_names_no_session_from_before() {
+    play(async {
+        let gateway = still(NODES[0], Shelf::default());
+        gateway.step(|control, now| control.happened(now, harbour::journal::Event::Hailed(pilot())));
+        assert_eq!(ask(&gateway, Call::Resolution, "", "").await.0.status, 200);
+        pass(20.0).await;
+        assert_eq!(ask(&gateway, Call::Resolution, "", "").await.0.status, 503);
+    });
+}
+
 /// What the disk had no room for is entered before any later word goes. It was not: a voter whose queue was full had accepted
 /// a value in memory alone and told it in its next answer; a majority could be counted that no disk holds.
 #[test]
@@ -181,6 +194,12 @@
     play(async {
         let sound = Sound::new();
         pass(1.0).await;
+        // A number beyond all counting ended the process, or came to stand below all others.
+        let (answer, told) = sound.call(0, Call::Replace, "", &configuration(u64::MAX, 5)).await;
+        assert!(
+            answer.status == 400 && told["Error"].to_string().contains("ConfigVersion: found ffff"),
+            "{told}"
+        );
         let (first, second) = (configuration(4, 5), configuration(5, 5));
         let (_, told) = sound.call(0, Call::Replace, "", &first).await;
         for n in 0..3 {
