--- a/harbour/tests/seats.rs
+++ b/harbour/tests/seats.rs
@@ -82,7 +82,7 @@
 #[test]
 fn what_can_not_be_done_is_refused() {
     let mut fleet = up(1);
-    let mut refused = |fleet: &mut Fleet, node, order, refusal| {
+    let refused = |fleet: &mut Fleet, node, order, refusal| {
         let token = ORDER + fleet.done.len() as u64;
         fleet.reseat(node, token, order);
         assert_eq!(fleet.done.get(&token), Some(&Outcome::Refused(refusal)));
