Data gateways beside a control gateway that is cut off: leases, late starters, what they remember

Played with the very cores: a control gateway cut off for 20 s, either way, on and off; one that starts beside it; one whose control gateway had started while cut off. Before: left 4.0 to 4.4 s after the last answer of a majority, so that leases of 4.3 s ended (20 ms and more of refusals); began by a configuration replaced 5 s and more ago; forgot all control gateways but the one.

--- /dev/null
+++ b/bridge/tests/contact.rs
@@ -0,0 +1,136 @@
+//! Data gateways whose control gateways are cut off from the majority: they come to others before their leases end, and
+//! begin by nothing that no majority vouched for within a lease.
+
+mod sea;
+
+use bridge::views::{Event, Turn, Views};
+use sea::{LEASE, Sea, configuration};
+use signal::{Beat, Held, Muster, Node, Piece, Register, Vector, pack};
+
+const SHIPS: usize = 24;
+
+/// All in session, with a configuration in force.
+fn sea() -> Sea {
+    let mut sea = Sea::new(SHIPS);
+    sea.run(2.0);
+    sea.replace(4, 1, 10);
+    sea.run(3.0);
+    assert_eq!((sea.with_version(1), sea.vouched()), (SHIPS, SHIPS));
+    sea
+}
+
+/// Guards against data gateways that stay with a control gateway that is cut off until their leases are over: its signs of
+/// life were taken for fresh as long as what they told was not old.
+#[test]
+fn a_control_gateway_that_is_cut_off_takes_nobodys_lease_away() {
+    for (out, into) in [(true, true), (true, false), (false, true)] {
+        let mut sea = sea();
+        for node in [6, 1] {
+            sea.cut_off(node, 1..=6, out, into);
+            for n in 0..640 {
+                sea.run(if n < 600 { 0.01 } else { 0.5 });
+                assert_eq!(sea.vouched(), SHIPS, "cut off: {node}, out {out}, into {into}");
+            }
+            sea.cut.clear();
+            sea.run(1.0);
+        }
+    }
+}
+
+/// The same on and off, at all lengths about those by which sessions are given up.
+#[test]
+fn a_flapping_cut_takes_nobodys_lease_away() {
+    for length in [0.7, 1.9, 3.1, 6.0] {
+        let mut sea = sea();
+        for _ in 0..6 {
+            for cut in [true, false] {
+                sea.cut_off(6, 1..=6, cut, cut);
+                for _ in 0..(length * 10.0) as usize {
+                    sea.run(0.1);
+                    assert_eq!(sea.vouched(), SHIPS, "every {length}");
+                }
+            }
+        }
+    }
+}
+
+/// A data gateway that starts beside a control gateway that is cut off, and reaches no other: it begins by a configuration
+/// and evacuations as old as others' leases at most, by its keys and by its public routes alike.
+#[test]
+fn a_late_starter_begins_by_nothing_older_than_a_lease() {
+    let mut began = 0;
+    for after in [0.0, 1.0, 3.0, 5.0, 20.0, 60.0] {
+        let mut sea = sea();
+        const LATE: Node = 200;
+        sea.cut_off(1, 2..=6, true, true);
+        sea.cut_off(LATE, 2..=6, true, true);
+        sea.replace(2, 2, 10);
+        sea.evacuate(2, "z3");
+        sea.run(0.3);
+        let replaced = sea.now;
+        sea.run(after);
+        sea.start_ship(LATE);
+        let mut begun = false;
+        for _ in 0..100 {
+            sea.run(0.1);
+            let (views, held) = (&sea.ships[&LATE].views, sea.now < replaced + LEASE);
+            // Once it goes by something it goes on with its public routes, as others do that are cut off.
+            let begins = views.chart().is_some() && !begun;
+            assert!(held || !begins, "it begins by what was replaced {} s ago", sea.now - replaced);
+            assert!(held || !views.vouched(sea.now));
+            begun |= begins;
+        }
+        began += usize::from(begun);
+        sea.cut.clear();
+        sea.run(4.0);
+        let ship = &sea.ships[&LATE];
+        assert_eq!(ship.views.chart().map(|chart| chart.version), Some(2));
+        assert_eq!(ship.views.vector().evacuations, 1);
+    }
+    assert!(began > 0, "where the lease lasts it does begin");
+}
+
+/// Guards against a data gateway that begins, or is vouched for, while it lacks the evacuated zones that its control gateway
+/// holds; and against a word for a configuration that it has yet to pull.
+#[test]
+fn what_is_lacking_is_not_vouched_for() {
+    let mut views = Views::new(LEASE);
+    let hear = |views: &mut Views, now: f64, chart, evacuations| {
+        let vector = Vector { chart, evacuations, ..Vector::default() };
+        let (serial, clock, posts, muster) = (1, 0.0, Vec::new(), Muster::default());
+        let beat = Beat { serial, clock, confirmed: Some(0.1), vector, posts, muster };
+        views.append(now, Event::Heard { beat, asked: Some(now) });
+        views.vouched(now)
+    };
+    let chart = |stamp| {
+        let packed = pack::pack(configuration(stamp - 1, 1).as_bytes(), b"").unwrap().into();
+        Event::Told(Piece::Chart { stamp, base: 0, packed })
+    };
+    assert!(views.append(1.0, chart(8)).is_empty() && views.chart().is_none());
+    assert!(!hear(&mut views, 1.0, 8, 3) && views.chart().is_none(), "zones are lacking");
+    let held = Held { stamp: 3, ..Held::default() };
+    views.append(1.1, Event::Told(Piece::Chosen(Register::Evacuations, held)));
+    assert!(!hear(&mut views, 1.1, 9, 3), "a configuration is lacking");
+    assert!(hear(&mut views, 1.2, 8, 3) && views.chart().is_some());
+    // The next one is in force at once, under what was vouched for: it can only be newer.
+    assert!(matches!(views.append(2.0, chart(9))[..], [Turn::Chart(_)]));
+    assert!(views.vouched(1.0 + LEASE) && !views.vouched(1.2 + LEASE));
+}
+
+/// Guards against a data gateway that forgets all control gateways but one: that one had started while it was cut off and
+/// knew of none, and the seeds were on the other side.
+#[test]
+fn who_was_told_of_one_control_gateway_alone_remembers_the_others() {
+    let mut sea = sea();
+    let ship = (100..).find(|node| sea.ships[node].session.with() == Some(6)).unwrap();
+    sea.cut_off(6, 1..=5, true, true);
+    sea.cores.remove(&6);
+    sea.start_core(6);
+    // It reaches that one alone at first, and later those that are no seeds.
+    sea.cut_off(ship, 1..=5, true, true);
+    sea.run(8.0);
+    assert_eq!(sea.ships[&ship].views.keepers().len(), 1);
+    sea.cut_off(ship, 4..=5, false, false);
+    sea.run(8.0);
+    assert!(sea.ships[&ship].views.vouched(sea.now), "it is with {:?}", sea.ships[&ship].session.with());
+}
