--- a/sounding/src/checks.rs
+++ b/sounding/src/checks.rs
@@ -6,7 +6,7 @@
 use harbour::control::Control;
 use harbour::helm::Helm;
 use harbour::{Outcome, Reseat};
-use signal::{Ballot, Held, Muster, Node, REGISTERS, Register, evacuated};
+use signal::{Ballot, Held, Mark, Muster, Node, REGISTERS, Register, evacuated};
 use std::collections::BTreeMap;
 
 /// Of a clock's reading, in seconds, turned back into made-up time.
@@ -108,6 +108,8 @@
     pub lines: BTreeMap<Register, Line>,
     pub musters: BTreeMap<u64, Muster>,
     pub orders: BTreeMap<u64, Given>,
+    /// Of which text each number of a configuration was taken.
+    pub marks: BTreeMap<u64, [u8; 16]>,
     last: BTreeMap<Node, Last>,
 }
 
@@ -145,6 +147,11 @@
                 }
                 last.ballots[n] = ballot;
                 self.lines.entry(register).or_default().learned(now, held)?;
+                for mark in &held.marks {
+                    if *self.marks.entry(mark.version).or_insert(mark.digest) != mark.digest {
+                        return Err(format!("two texts under one number: {mark:?} in {held:?}"));
+                    }
+                }
             }
             let confirmed = control.helm.confirmed(register);
             if let Some(asked) = confirmed.filter(|_| confirmed != last.confirmed[n]) {
@@ -191,15 +198,24 @@
         let line = self.lines.get(&given.order.register());
         let line: Vec<&Seen> = line.map(|line| line.values.values().collect()).unwrap_or_default();
         match &given.order {
-            Order::Chart { version, text, .. } => {
+            Order::Chart { version, digest, text } => {
                 let stamp = helm.chosen(Register::Chart).map_or(0, |held| held.stamp);
                 let stands = line.iter().find(|seen| seen.stamp == version + 1);
                 if stamp <= *version {
                     return Err(format!("{version} is acknowledged, {stamp} is the newest stamp"));
                 }
                 let own = stands.is_none_or(|seen| seen.value == *text);
-                if own != (outcome == Outcome::Chosen) {
-                    return Err(format!("{text:?} is told {outcome:?}, {stands:?} stands"));
+                if !own && outcome == Outcome::Chosen {
+                    return Err(format!("{text:?} is acknowledged, {stands:?} stands"));
+                }
+                // A number that was passed over before anybody took it alters nothing and is acknowledged.
+                let taken = self.marks.get(version).map(|&digest| Mark { version: *version, digest });
+                let told = match taken {
+                    Some(mark) if mark.digest != *digest => Outcome::Stands(mark),
+                    _ => Outcome::Chosen,
+                };
+                if told != outcome {
+                    return Err(format!("{text:?} is told {outcome:?}, {taken:?} is in the line"));
                 }
             }
             Order::Zone { zone, on } => {
--- a/sounding/src/play.rs
+++ b/sounding/src/play.rs
@@ -325,7 +325,7 @@
             let right = self.right();
             let changing = |control: &Control| control.muster().changing();
             let now = self.fleet.now;
-            still = if self.fleet.live.values().any(changing) { now + LAST_WORD } else { still.min(now) };
+            still = if self.fleet.live.values().any(changing) { now + LAST_WORD } else { still };
             match right {
                 Ok(()) => return,
                 Err(fault) if now >= until || now >= still => self.fleet.hold(Err(fault)),
--- a/sounding/src/world.rs
+++ b/sounding/src/world.rs
@@ -105,6 +105,8 @@
     frozen: BTreeMap<Node, f64>,
     cuts: BTreeMap<(Node, Node), f64>,
     stalls: BTreeMap<(Node, Node), (f64, usize)>,
+    /// When freezes and stalls end.
+    ends: Vec<f64>,
     queue: BinaryHeap<Due>,
     serial: u64,
 }
@@ -149,6 +151,7 @@
             frozen: BTreeMap::new(),
             cuts: BTreeMap::new(),
             stalls: BTreeMap::new(),
+            ends: Vec::new(),
             queue: BinaryHeap::new(),
             serial: 0,
         }
@@ -274,7 +277,10 @@
     /// A gateway stands still for so long; what is sent to it waits.
     pub fn freeze(&mut self, node: Node, seconds: f64) {
         self.tell(|_| format!("{node} stands still for {seconds:.3}"));
-        self.frozen.insert(node, self.now + seconds);
+        let until = self.now + seconds;
+        self.ends.push(until);
+        let frozen = self.frozen.entry(node).or_insert(until);
+        *frozen = frozen.max(until);
     }
 
     /// No word goes that way until `heal`.
@@ -291,24 +297,23 @@
     /// Words that way wait so long and then come all together, as from a connection that was held up.
     pub fn stall(&mut self, from: Node, to: Node, seconds: f64) {
         self.tell(|_| format!("held up {from} -> {to} for {seconds:.3}"));
-        self.stalls.insert((from, to), (self.now + seconds, 0));
+        let until = self.now + seconds;
+        self.ends.push(until);
+        self.stalls.insert((from, to), (until, 0));
     }
 
     /// Ends all cuts, freezes and hanging disks, and all that is wrong with words.
     pub fn heal(&mut self) {
         self.tell(|_| "all healed".into());
-        let (now, frozen) = (self.now, std::mem::take(&mut self.frozen));
-        let stalls = std::mem::take(&mut self.stalls);
+        let (now, ends) = (self.now, std::mem::take(&mut self.ends));
+        self.frozen.clear();
+        self.stalls.clear();
         self.cuts.clear();
         // What only waited for the end of these comes now.
         let mut queue = std::mem::take(&mut self.queue).into_vec();
         for due in &mut queue {
             let waits = match &due.event {
-                Event::Word(from, to, _) => {
-                    frozen.get(to) == Some(&due.at)
-                        || stalls.get(&(*from, *to)).is_some_and(|s| s.0 == due.at)
-                }
-                Event::Tick(node, _) | Event::Greet(node, ..) => frozen.get(node) == Some(&due.at),
+                Event::Word(..) | Event::Tick(..) | Event::Greet(..) => ends.contains(&due.at),
                 Event::Written(..) | Event::Start(..) => true,
             };
             due.at = if waits { now.min(due.at) } else { due.at };
