Late and doubled words and clients that leave, played

A client's requests sent at once are answered in their order under their own ids, also after a client that left and whatever hosts do (216 plays). Beats and news of before, doubled and in any order, on the session's own connection or on the next one, turn nothing back and vouch for nothing. Silence of the holder of the counts ends with an answer to a question that is out, and with nothing else.

--- a/pilot/src/played.rs
+++ b/pilot/src/played.rs
@@ -3,6 +3,7 @@
 //! for what the client has got, and silence ends with the request's own time.
 
 use crate::deck::Deck;
+use crate::front::{self, Front, Stage};
 use crate::{hand_off, request};
 use bridge::views::Event;
 use chart::Settings;
@@ -16,7 +17,7 @@
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local, yield_now};
 
 /// What a host does with the next request that comes to any of them.
@@ -228,10 +229,10 @@
     request::respond(deck, request).await
 }
 
-/// Two requests, one after the other, while hosts do what the script says.
-async fn play(script: [Habit; 2], repeatable: bool, body: usize) {
+/// Two hosts that do what the script says, and a data gateway before them.
+fn world(script: &[Habit]) -> (Rc<World>, Rc<Deck>) {
     let world = Rc::new(World {
-        script: RefCell::new(script.into()),
+        script: RefCell::new(script.iter().copied().collect()),
         ran: RefCell::default(),
         wrong: RefCell::default(),
         answered: Cell::new(0),
@@ -246,7 +247,12 @@
         hosts.push(listener.local_addr().unwrap());
         spawn_local(listen(world.clone(), n, listener));
     }
-    let deck = deck(&hosts);
+    (world, deck(&hosts))
+}
+
+/// Two requests, one after the other.
+async fn play(script: [Habit; 2], repeatable: bool, body: usize) {
+    let (world, deck) = world(&script);
     let millis = if script.iter().any(|habit| habit.silent()) { 90 } else { 20_000 };
     let target = if repeatable { "/read" } else { "/write" };
     for (n, id) in ["one", "two"].into_iter().enumerate() {
@@ -278,12 +284,12 @@
     assert_eq!(*world.wrong.borrow(), Vec::<String>::new(), "{script:?}, {repeatable}");
 }
 
-fn run(plays: &[([Habit; 2], bool)], body: usize, at_once: usize) {
+fn run<F: Future<Output = ()> + 'static>(plays: impl IntoIterator<Item = F>, at_once: usize) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    for some in plays.chunks(at_once) {
+    let mut plays = plays.into_iter().peekable();
+    while plays.peek().is_some() {
         LocalSet::new().block_on(&runtime, async {
-            let played: Vec<_> =
-                some.iter().map(|&(script, again)| spawn_local(play(script, again, body))).collect();
+            let played: Vec<_> = plays.by_ref().take(at_once).map(spawn_local).collect();
             for one in played {
                 one.await.unwrap();
             }
@@ -299,11 +305,64 @@
 /// All pairs of what hosts do, for a request and whatever comes after it: its next host, or the next request.
 #[test]
 fn each_request_gets_its_own_answer_or_none_and_runs_once() {
-    run(&pairs(&HABITS, &HABITS), 10, 32);
+    run(pairs(&HABITS, &HABITS).into_iter().map(|(script, again)| play(script, again, 10)), 32);
 }
 
 /// A body that no socket takes at once: the send itself breaks off, when the host has begun or before.
 #[test]
 fn a_send_that_breaks_off_half_way_goes_nowhere_else() {
-    run(&pairs(&[ResetHalfRead, ResetUnread], &[Right, Late, ResetHalfRead, Full]), 8 << 20, 4);
+    let scripts = pairs(&[ResetHalfRead, ResetUnread], &[Right, Late, ResetHalfRead, Full]);
+    run(scripts.into_iter().map(|(script, again)| play(script, again, 8 << 20)), 4);
+}
+
+/// Three requests of one client at once on one connection, and a client that leaves before its answers; then another one.
+async fn play_clients(script: [Habit; 3]) {
+    let (world, deck) = world(&script);
+    let (stage, stages) = watch::channel(Stage::Serving);
+    let (room, open, at_work) = (Rc::new(Cell::new(1 << 20)), Cell::new(0), Cell::new(0));
+    let front = Rc::new(Front { deck, stage: stages, room, most: 8, open, at_work });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    spawn_local(front::listen(front.clone(), listener));
+    let asks = |ids: &[&str]| -> String {
+        let head =
+            "POST /write HTTP/1.1\r\nHost: o\r\nTime-Remaining: 9000\r\nContent-Length: 2\r\nAttempt-Id: ";
+        ids.iter().map(|id| format!("{head}{id}\r\n\r\nab")).collect()
+    };
+    // What no reader can frame gets 400 after the answers that are due, and ends the connection.
+    let broken = "GET / HTTP/1.1\r\nContent-Length: +1\r\n\r\n";
+    for (ids, leaves) in [(["a", "b", "c"], true), (["d", "e", "f"], false)] {
+        let mut client = TcpStream::connect(to).await.unwrap();
+        let text = asks(&ids) + broken + &asks(&["smuggled"]);
+        client.write_all(text.as_bytes()).await.unwrap();
+        if leaves {
+            // As its first request is at work.
+            for _ in 0..10_000 {
+                if front.at_work.get() > 0 {
+                    break;
+                }
+                yield_now().await;
+            }
+            continue;
+        }
+        let mut said = String::new();
+        client.read_to_string(&mut said).await.unwrap();
+        let own: Vec<&str> = said.lines().filter_map(|line| line.strip_prefix("Attempt-Id: ")).collect();
+        assert_eq!(own, ids, "{script:?}: {said}");
+        let ran: Vec<&str> = said.split("ran ").skip(1).map(|rest| &rest[..1]).collect();
+        assert!(ran.iter().all(|id| ids.contains(id)) && ran.is_sorted(), "{script:?}: {said}");
+        assert!(said.trim_end().ends_with("Connection: close") && said.contains(" 400 "), "{said}");
+    }
+    assert!(world.ran.borrow().iter().all(|(id, _)| id != "smuggled"));
+    let ran: BTreeSet<String> = world.ran.borrow().iter().map(|(id, _)| id.clone()).collect();
+    assert_eq!(ran.len(), world.ran.borrow().len(), "{script:?}: one ran twice");
+    drop(stage);
+}
+
+/// Answers come in the order of their requests, each with its own id, also after a client that left.
+#[test]
+fn clients_that_send_many_at_once_or_leave_get_their_own() {
+    const FEW: [Habit; 6] = [Right, StrangerWith, Closed, Full, Failed, StrangerBefore];
+    let scripts = FEW.iter().flat_map(|&a| FEW.iter().flat_map(move |&b| FEW.map(|c| [a, b, c])));
+    run(scripts.map(play_clients), 32);
 }
--- a/pilot/src/session.rs
+++ b/pilot/src/session.rs
@@ -177,3 +177,93 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bridge::views::Views;
+    use signal::{Beat, Duty, Held, Hosts, Piece, Pilot, Post, Register, Vector, pack};
+    use std::net::{Ipv4Addr, SocketAddrV4};
+
+    const LEASE: f64 = 3.0;
+
+    fn pilot() -> Pilot {
+        let front = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
+        Pilot { node: 1, zone: "z".into(), region: "r".into(), front, ready: true }
+    }
+
+    /// A hail's number.
+    fn hail(session: &mut Session, views: &Views, now: f64) -> u64 {
+        let acts = session.tick(now, views, pilot);
+        let number = acts.iter().find_map(|act| match act {
+            Act::Send(Word::Hail { serial, .. }) => Some(*serial),
+            _ => None,
+        });
+        number.unwrap_or_else(|| panic!("no hail at {now}: {acts:?}"))
+    }
+
+    fn call(session: &mut Session, views: &Views, now: f64) {
+        assert!(matches!(session.tick(now, views, pilot)[..], [Act::Call(2)]));
+        session.called(now, Ok(()));
+    }
+
+    /// What a control gateway says when the fleet stands at the n-th of everything.
+    fn words(n: u64, serial: u64) -> [Word; 2] {
+        let post = Post { duty: Duty::Tally, holder: 10 + n as u32, term: n };
+        let vector = Vector { chart: n, evacuations: n, hosts: (1, n), ..Vector::default() };
+        let (clock, confirmed) = (n as f64, Some(0.0));
+        let beat = Beat { serial, clock, confirmed, vector, posts: vec![post], voters: vec![2] };
+        let text = format!(
+            r#"{{"ConfigVersion": "{n:08x}", "RouteTable": {{"ColumnNames": [], "Records": []}},
+                "ServiceTable": {{"ColumnNames": [], "Records": []}}}}"#
+        );
+        let packed = pack::pack(text.as_bytes(), b"").unwrap().into();
+        let value = format!("zone-{n}").into();
+        let pieces = vec![
+            Piece::Chart { stamp: n, base: 0, packed },
+            Piece::Chosen(Register::Evacuations, Held { stamp: n, value, ..Held::default() }),
+            Piece::Hosts(Hosts { term: 1, version: n, lines: Vec::new() }),
+        ];
+        [Word::News(pieces), Word::Beat(beat)]
+    }
+
+    fn state(views: &Views, now: f64) -> String {
+        let version = views.chart().map(|chart| chart.version);
+        format!("{version:?} {:?} {:?} {}", views.vector(), views.counter(), views.clock(now))
+    }
+
+    /// Beats and news of before, doubled, in any order, on the session's own connection or on the next one, turn nothing
+    /// back and vouch for nothing: a beat vouches once, for the hail whose number it names in the session that sent it.
+    #[test]
+    fn old_beats_and_news_turn_nothing_back_and_vouch_for_nothing() {
+        let place = Place { node: 1, zone: "z".into(), region: "r".into(), seeds: vec![2] };
+        let (mut session, mut views) = (Session::new(place), Views::new(LEASE));
+        call(&mut session, &views, 0.0);
+        let mut old = Vec::new();
+        for (n, at) in [(1, 0.0), (2, 0.5), (3, 1.0)] {
+            let serial = hail(&mut session, &views, at);
+            old.extend(words(n, serial));
+            words(n, serial).into_iter().for_each(|word| drop(session.hear(at, word, &mut views)));
+        }
+        let (late, before) = (1.0 + LEASE - 0.1, state(&views, 1.0));
+        assert!(views.vouched(late) && !views.vouched(1.0 + LEASE));
+        for round in 0..2 {
+            let now = 1.2 + 0.4 * f64::from(round);
+            if round == 1 {
+                session.lost(now, "reset");
+                call(&mut session, &views, now + 0.2);
+                hail(&mut session, &views, now + 0.2);
+            }
+            // Rotated and turned round: each word comes before and after each other one.
+            for from in 0..old.len() {
+                old.rotate_left(1);
+                old.reverse();
+                for word in &old {
+                    session.hear(now + 0.2 + 0.01 * from as f64, word.clone(), &mut views);
+                    assert_eq!(state(&views, 1.0), before, "round {round}, {word:?}");
+                }
+            }
+            assert!(!views.vouched(1.0 + LEASE), "round {round}");
+        }
+    }
+}
--- a/tally/tests/frames.rs
+++ b/tally/tests/frames.rs
@@ -4,7 +4,7 @@
 use signal::Add;
 use tally::asker::{Asker, Quota, Verdict};
 use tally::book::Book;
-use tally::frames::{Frames, Heard, Settled};
+use tally::frames::{Frames, Heard, SILENT, Settled};
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -126,6 +126,23 @@
     assert_eq!(frames.hang_up().len(), sent);
 }
 
+/// Silence counts from the oldest question out or the last answer to one; what is nobody's is no sign of life.
+#[test]
+fn only_an_answer_ends_a_silence() {
+    let mut frames = Frames::default();
+    assert_eq!(frames.silent_at(), None);
+    let ask = |frames: &mut Frames, at| frames.ask(at, Vec::new()).unwrap().0;
+    let (first, second) = (ask(&mut frames, 1.0), ask(&mut frames, 1.1));
+    assert_eq!(frames.silent_at(), Some(1.0 + SILENT));
+    frames.hear(1.2, first, Some(Vec::new()));
+    for nobodys in [first, second + 1] {
+        assert_eq!(frames.hear(1.3, nobodys, Some(Vec::new())), (Heard::Nobodys, Vec::new()));
+        assert_eq!(frames.silent_at(), Some(1.2 + SILENT));
+    }
+    frames.hear(1.4, second, None);
+    assert_eq!(frames.silent_at(), None);
+}
+
 /// A tenant beyond its quota and one within it ask one after the other, and the first answer is lost: the second one's
 /// total must not let the first one on. Totals that are no number let nobody on.
 #[test]
