--- a/pilot/src/played.rs
+++ b/pilot/src/played.rs
@@ -10,7 +10,7 @@
 use fairway::kept::Kept;
 use fairway::plain::{Answer, CallerSide, Field, Request};
 use mooring::Clock;
-use signal::{HostLine, Hosts, Piece, pack};
+use signal::{Beat, HostLine, Hosts, Muster, Piece, Vector, pack};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -215,6 +215,14 @@
         let turns = deck.views.borrow_mut().append(deck.clock.now(), Event::Told(piece));
         deck.turn(turns);
     }
+    // Without a majority's word no configuration is in force.
+    let vector = Vector { chart: 1, ..Vector::default() };
+    let (posts, missing, muster) = (Vec::new(), Vec::new(), Muster::default());
+    let beat =
+        Beat { serial: 1, clock: 0.0, confirmed: Some(0.0), vector, posts, muster, whole: true, missing };
+    let now = deck.clock.now();
+    let turns = deck.views.borrow_mut().append(now, Event::Heard { beat, asked: Some(now) });
+    deck.turn(turns);
     (0..2).for_each(|_| deck.budget.borrow_mut().earn(&deck.budget_rule(), "s", 1));
     deck
 }
--- a/pilot/src/session.rs
+++ b/pilot/src/session.rs
@@ -212,7 +212,16 @@
         let post = Post { duty: Duty::Tally, holder: 10 + n as u32, term: n };
         let vector = Vector { chart: n, evacuations: n, hosts: (1, n), ..Vector::default() };
         let (clock, confirmed) = (n as f64, Some(0.0));
-        let beat = Beat { serial, clock, confirmed, vector, posts: vec![post], muster: Default::default(), whole: true, missing: vec![] };
+        let beat = Beat {
+            serial,
+            clock,
+            confirmed,
+            vector,
+            posts: vec![post],
+            muster: Default::default(),
+            whole: true,
+            missing: vec![],
+        };
         let text = format!(
             r#"{{"ConfigVersion": "{n:08x}", "RouteTable": {{"ColumnNames": [], "Records": []}},
                 "ServiceTable": {{"ColumnNames": [], "Records": []}}}}"#
