Crew: a change under way is not taken for another's; recalls wait at most four seconds

Cause: while its change was being agreed on, the proposer named another set as its own, and then waited its turn to end the change: 2.3 s for a first start in one of five. After a cut of 40 s an emptied voter asked again only after 24 s, now after 4 s or when a link comes up anew.

--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -454,6 +454,7 @@
         self.crew.heard(now, from);
         match word {
             Word::Greet { keeper, muster } => {
+                self.voter.greeted(from);
                 let mut acts = self.stand(now, &muster);
                 acts.extend(self.happened(now, Event::Met(keeper)));
                 acts
--- a/harbour/src/crew.rs
+++ b/harbour/src/crew.rs
@@ -314,9 +314,12 @@
     }
 
     fn next(&mut self, muster: Muster) -> Vec<(u64, Change)> {
-        self.proposed =
-            Some(muster.coming.clone()).filter(|coming| !coming.is_empty()).or(self.proposed.take());
-        self.propose(Try::Next, Change::Muster(muster)).into_iter().collect()
+        let coming = muster.coming.clone();
+        let proposed = self.propose(Try::Next, Change::Muster(muster));
+        if proposed.is_some() && !coming.is_empty() {
+            self.proposed = Some(coming);
+        }
+        proposed.into_iter().collect()
     }
 
     fn place(&self, set: &[Node]) -> Option<usize> {
--- a/harbour/src/voter.rs
+++ b/harbour/src/voter.rs
@@ -13,6 +13,8 @@
 /// Who has not told by then is asked again, and then only after twice as long each time: two ways and two slow syncs fit in,
 /// and a large configuration on a narrow link is not sent again while it is still coming.
 const RECALL_AGAIN: f64 = 0.75;
+/// The longest such wait: so much of a time without links is lost after it, where they don't come up anew.
+const RECALL_MOST: f64 = 4.0;
 
 /// What a voter without a memory has done to get it back. An answer counts whenever it comes: it was given after `FORGET`, when
 /// all attempts that counted a word from before the loss were over, so that whoever told has since then only promised and
@@ -79,6 +81,13 @@
         self.serial = number;
     }
 
+    /// A link to that one came up anew: what was asked or told on the one before may be lost.
+    pub fn greeted(&mut self, from: Node) {
+        if let Some((at, _)) = self.memory.recall().and_then(|recall| recall.asked.get_mut(&from)) {
+            *at = f64::NEG_INFINITY;
+        }
+    }
+
     /// Whose slots it has to read: those of the seats before it, or of all that vote.
     fn tellers(&self) -> Muster {
         match self.memory {
@@ -109,7 +118,7 @@
         for node in tellers.voters() {
             let (at, wait) = recall.asked.get(&node).copied().unwrap_or((f64::NEG_INFINITY, RECALL_AGAIN));
             if node != self.me && !recall.told.contains_key(&node) && now >= at + wait {
-                let next = if at.is_finite() { 2.0 * wait } else { wait };
+                let next = if at.is_finite() { (2.0 * wait).min(RECALL_MOST) } else { wait };
                 recall.asked.insert(node, (now, next));
                 acts.push(Act::Send(node, word.clone()));
             }
--- a/harbour/tests/seats.rs
+++ b/harbour/tests/seats.rs
@@ -344,8 +344,8 @@
 
 /// A holder whose grants are all from voters of the old set, and which hears of nothing; `early`: the planted fault, a new set
 /// that stands before those grants are over.
-fn cut_off_holder(early: bool) -> Result<(), String> {
-    let mut fleet = up(1);
+fn cut_off_holder(seed: u64, early: bool) -> Result<(), String> {
+    let mut fleet = up(seed);
     fleet.strict = false;
     // Leave it to 3, granted by 1 and itself.
     let holder = fleet.holder(Duty::Tally).unwrap();
@@ -377,8 +377,8 @@
 
 #[test]
 fn grants_of_the_old_set_are_over_before_the_new_one_stands() {
-    assert_eq!(cut_off_holder(false), Ok(()));
-    assert!(cut_off_holder(true).is_err(), "the planted fault goes unseen");
+    (0..20).for_each(|seed| assert_eq!(cut_off_holder(seed, false), Ok(()), "seed {seed}"));
+    assert!((0..20).any(|seed| cut_off_holder(seed, true).is_err()), "the planted fault goes unseen");
 }
 
 /// All are killed at some moment of the first start, come back, one of the seeds with its marker never written.
@@ -404,7 +404,8 @@
     );
 }
 
-/// Six machines, links of 12 ms, syncs of 2 ms: five vote within two seconds, and before that nothing is taken.
+/// Six machines, links of 12 ms, syncs of 2 ms: five vote within 0.6 s, and before that nothing is taken. Guards against a
+/// gateway that takes its own change for another's because another gateway was heard of meanwhile, and waits its turn.
 #[test]
 fn a_first_start_takes_others_in_quickly_and_no_order_before() {
     for seed in 0..10 {
@@ -414,7 +415,7 @@
         (1..=6).for_each(|node| fleet.set_sync(node, 0.002));
         fleet.replace(1, 1, 4);
         assert_eq!(fleet.done.get(&1), Some(&Outcome::Unclear));
-        assert!(until(&mut fleet, 2.0, |f| f.live.values().all(|c| c.muster().seats.len() == 5)));
+        assert!(until(&mut fleet, 0.6, |f| f.live.values().all(|c| c.muster().seats.len() == 5)));
         assert!(fleet.live.values().all(|c| c.helm.chosen(Register::Chart).is_none()));
         fleet.run(0.1);
         sound(&mut fleet, &format!("seed {seed}"));
