Duties: a named successor is asked for once more, word of a left term is old; a late Accepted counts no more

Cause: the successor's bid overtook the word that names it, and beats that still named the old holder kept the successor waiting: 4 of 200 hand-overs took a second. A writer that stood still counted words from before its voters lost their disks.

--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -39,6 +39,8 @@
     serial: u64,
     at: f64,
     yes: BTreeSet<Node>,
+    /// Of a successor that was named: a voter that denies has only not heard of it yet, and is asked once more.
+    again: bool,
 }
 
 /// A term that this gateway holds: since when, and until when at least.
@@ -60,6 +62,8 @@
     known: BTreeMap<Duty, (Post, f64)>,
     /// The greatest term that anybody granted, as far as known.
     seen: BTreeMap<Duty, u64>,
+    /// Terms up to this one were given up by their holder: word of them that is still about is old.
+    over: BTreeMap<Duty, u64>,
     try_at: BTreeMap<Duty, f64>,
     serial: u64,
     leaving: bool,
@@ -79,6 +83,7 @@
             held: BTreeMap::new(),
             known: BTreeMap::new(),
             seen: BTreeMap::new(),
+            over: BTreeMap::new(),
             try_at: BTreeMap::new(),
             serial,
             leaving: false,
@@ -124,6 +129,9 @@
     /// Word of who holds a duty, from a majority's grant; `from` the holder itself it is a sign of life.
     pub fn told(&mut self, now: f64, from: Node, post: Post) {
         let known = self.known.get(&post.duty);
+        if self.over.get(&post.duty).is_some_and(|over| post.term <= *over) {
+            return;
+        }
         if known.is_none_or(|(k, _)| k.term < post.term || (k.term == post.term && from == post.holder)) {
             self.known.insert(post.duty, (post, now));
         }
@@ -149,7 +157,8 @@
     fn bid(&mut self, now: f64, duty: Duty, term: u64) -> Vec<Act> {
         self.serial = self.serial.wrapping_add(1);
         let serial = self.serial;
-        self.bidding.insert(duty, Bidding { term, serial, at: now, yes: BTreeSet::new() });
+        let yes = BTreeSet::new();
+        self.bidding.insert(duty, Bidding { term, serial, at: now, yes, again: false });
         let post = Post { duty, holder: self.me, term };
         let word = self.muster.say(Poll::Bid(post, serial));
         self.muster.voters().into_iter().map(|node| Act::Send(node, word.clone())).collect()
@@ -202,7 +211,14 @@
             Poll::Deny(post) => {
                 let seen = self.seen.entry(post.duty).or_default();
                 *seen = post.term.max(*seen);
-                Vec::new()
+                let over = self.over.get(&post.duty).is_some_and(|over| post.term <= *over);
+                match self.bidding.get_mut(&post.duty) {
+                    Some(Bidding { term, again: true, .. }) if over => {
+                        let term = *term;
+                        self.bid(now, post.duty, term)
+                    }
+                    _ => Vec::new(),
+                }
             }
             Poll::Yield(post, successor) => self.yielded(now, from, *post, *successor),
             _ => Vec::new(),
@@ -275,6 +291,11 @@
         {
             given.until = now;
         }
+        // Who only gives back what it did not win may bid for that term again.
+        if successor != NOBODY {
+            let over = self.over.entry(post.duty).or_default();
+            *over = post.term.max(*over);
+        }
         let known = self.known.get(&post.duty).is_some_and(|(k, _)| k.holder == from);
         if known {
             self.known.remove(&post.duty);
@@ -287,6 +308,8 @@
             self.try_at.insert(post.duty, now + BID_LASTS + BID_SPREAD * self.chance.rand_float());
             return Vec::new();
         }
-        self.bid(now, post.duty, post.term + 1)
+        let acts = self.bid(now, post.duty, post.term + 1);
+        self.bidding.entry(post.duty).and_modify(|bidding| bidding.again = true);
+        acts
     }
 }
--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -252,7 +252,8 @@
         };
         let Phase::Accepting(held, outcome, yes) = &mut work.phase else { return Vec::new() };
         yes.insert(from);
-        if !muster.enough(|node| yes.contains(&node)) {
+        // The same here: what was accepted first may be forgotten by now.
+        if !muster.enough(|node| yes.contains(&node)) || now > work.wish.until {
             return Vec::new();
         }
         let (held, outcome) = (held.clone(), *outcome);
--- a/harbour/tests/fleet.rs
+++ b/harbour/tests/fleet.rs
@@ -115,9 +115,11 @@
     }
 }
 
+/// Guards against a successor whose bid overtakes the word that names it, and against word of the old holder that is still
+/// about: in one of fifty cases the duty stood still for a second.
 #[test]
 fn a_holder_that_leaves_names_its_successor() {
-    for seed in 0..20 {
+    for seed in 0..100 {
         let mut fleet = Fleet::new(seed);
         fleet.run(2.0);
         let holder = fleet.agreed(Duty::Lookout).expect("a holder");
--- a/harbour/tests/seats.rs
+++ b/harbour/tests/seats.rs
@@ -4,7 +4,8 @@
 
 use harbour::control::Control;
 use harbour::crew::Ended;
-use harbour::{Outcome, Refusal, Reseat};
+use harbour::helm::{Change, Helm};
+use harbour::{Act, Outcome, Refusal, Reseat};
 use signal::{Duty, Muster, Node, Poll, REGISTERS, Register, Word};
 use sounding::Fleet;
 use std::collections::BTreeSet;
@@ -458,7 +459,7 @@
         let now = fleet.clock(1) + 3.0;
         let acts = fleet.live.get_mut(&1).unwrap().tick(now);
         let asked = acts.into_iter().find_map(|act| match act {
-            harbour::Act::Send(2, Word::Poll(_, Poll::Recall(serial))) => Some(serial),
+            Act::Send(2, Word::Poll(_, Poll::Recall(serial))) => Some(serial),
             _ => None,
         });
         asked.expect("a question")
@@ -475,6 +476,26 @@
     }
 }
 
+/// Guards against a writer that stood still and counts, as it wakes, a word of a voter that has lost its disk since and came back
+/// without it: acknowledged, and on one disk.
+#[test]
+fn a_writer_that_wakes_late_counts_no_old_word() {
+    let mut helm = Helm::new(4, 1);
+    helm.set_muster(0.0, &Muster::first(&[1, 2, 3]));
+    let acts = helm.propose(0.0, Change::Evacuate { zone: "a".into(), on: true }, 1);
+    let ballot = acts.iter().find_map(|act| match act {
+        Act::Send(_, Word::Poll(_, Poll::Prepare(_, ballot))) => Some(*ballot),
+        _ => None,
+    });
+    let ballot = ballot.expect("a ballot");
+    for node in [1, 2] {
+        helm.hear(0.1, node, &Poll::Promise(Register::Evacuations, ballot, None));
+    }
+    helm.hear(0.2, 1, &Poll::Accepted(Register::Evacuations, ballot));
+    let acts = helm.hear(9.0, 2, &Poll::Accepted(Register::Evacuations, ballot));
+    assert!(!acts.iter().any(|act| matches!(act, Act::Done(_, Outcome::Chosen))), "{acts:?}");
+}
+
 /// A disk that was emptied names no epoch until it holds the slots as well, whatever it hears of and whenever it dies.
 #[test]
 fn an_emptied_disk_vouches_for_nothing_until_it_is_whole() {
