What an emptied voter read from others is handed on, not counted; old answers are not counted with new ones

Now it counts on that register once it accepts again, which it asks for at once. Answers to questions older than 2 s are dropped.

--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -427,6 +427,10 @@
                 if let Some(Act::Store(record, _)) = acts.first_mut() {
                     record.posts = self.duties.granted_posts();
                     record.muster = Some(self.muster.clone());
+                    for register in self.voter.read() {
+                        let settled = self.helm.propose(now, Change::Settle(register), OWN_TOKENS);
+                        acts.extend(self.follow(now, settled));
+                    }
                 }
                 acts
             }
--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -196,6 +196,7 @@
         if !self.muster.votes(from) {
             return Vec::new();
         }
+        self.asking.forget(now);
         match poll {
             Poll::Promise(register, ballot, held) => self.promised(now, from, *register, *ballot, held),
             Poll::Accepted(register, ballot) => self.accepted(now, from, *register, *ballot),
--- a/harbour/src/helm/ask.rs
+++ b/harbour/src/helm/ask.rs
@@ -17,6 +17,9 @@
 /// Questions that may still be answered, 16 bytes each: 25 s of them while a majority answers none, many times the slowest
 /// answer from which a lease could follow.
 const MOST_OUT: usize = 256;
+/// An older answer counts no more: a voter that lost its disk since, and read from others, is back after more than this
+/// (`voter::FORGET`), and what it had accepted may be accepted by another one only then.
+const OLD: f64 = 2.0;
 /// What a majority names and is not held here is fetched again after this.
 const FETCH_AGAIN: f64 = 0.25;
 /// So many times in a row a majority answered, each with something else: nobody is about to finish it.
@@ -142,6 +145,11 @@
         apart
     }
 
+    /// Answers that are too old to be counted with newer ones are dropped.
+    pub fn forget(&mut self, now: f64) {
+        self.answers.retain(|_, answer| now < answer.at + OLD);
+    }
+
     /// Takes a voter's answer; false where it tells nothing new.
     pub fn answered(&mut self, from: Node, serial: u64, ballots: &[(Register, Ballot)]) -> bool {
         let Some(&(_, at)) = self.out.iter().find(|(number, _)| *number == serial) else { return false };
--- a/harbour/src/voter.rs
+++ b/harbour/src/voter.rs
@@ -5,7 +5,7 @@
 
 use crate::{Act, Record};
 use signal::{Ballot, Held, Muster, Node, Poll, REGISTERS, Register, Slot};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Longer than any attempt to write lives (`helm::LIFE`), held-up answers of its first half included: a voter that
 /// forgot a promise is back only when the attempt that it was made to is over, so that it can't be counted twice.
@@ -51,6 +51,9 @@
     slots: BTreeMap<Register, Slot>,
     memory: Memory,
     serial: u64,
+    /// Registers whose value this voter may only have read from others, after it had promised a later ballot: it hands on what it
+    /// read, but does not count among those that accepted it.
+    read: BTreeSet<Register>,
 }
 
 impl Voter {
@@ -58,7 +61,10 @@
     pub fn new(now: f64, me: Node, slots: Option<BTreeMap<Register, Slot>>) -> Voter {
         let forgotten = Memory::Forgotten(Recall { since: now, ..Recall::default() });
         let memory = if slots.is_some() { Memory::Whole } else { forgotten };
-        Voter { me, muster: Muster::default(), slots: slots.unwrap_or_default(), memory, serial: 0 }
+        let (muster, slots) = (Muster::default(), slots.unwrap_or_default());
+        let mut voter = Voter { me, muster, slots, memory, serial: 0, read: BTreeSet::new() };
+        voter.mark_read();
+        voter
     }
 
     /// Another epoch: what was told in the one before counts for nothing, and is asked for anew at once.
@@ -88,6 +94,19 @@
         }
     }
 
+    /// A value below what is promised may have been read, or accepted before the promise: the disk doesn't tell, and the first is
+    /// taken to be so. What stands under the very ballot that was promised may be counted either way.
+    fn mark_read(&mut self) {
+        let below = |slot: &Slot| slot.held.as_ref().is_some_and(|held| held.ballot < slot.promised);
+        self.read =
+            self.slots.iter().filter(|(_, slot)| below(slot)).map(|(register, _)| *register).collect();
+    }
+
+    /// Registers on which this voter does not count until it accepts again.
+    pub fn read(&self) -> Vec<Register> {
+        self.read.iter().copied().collect()
+    }
+
     /// Whose slots it has to read: those of the seats before it, or of all that vote.
     fn tellers(&self) -> Muster {
         match self.memory {
@@ -158,13 +177,15 @@
                 }
                 slot.promised = held.ballot;
                 slot.held = Some(held.clone());
+                self.read.remove(register);
                 self.store(*register, from, Poll::Accepted(*register, held.ballot))
             }
             Poll::Ask(serial) => {
                 let ballot = |r: &Register| {
                     self.slots.get(r).and_then(|s| s.held.as_ref()).map_or(Ballot::default(), |h| h.ballot)
                 };
-                let ballots = REGISTERS.iter().map(|r| (*r, ballot(r))).collect();
+                let accepted = REGISTERS.iter().filter(|r| !self.read.contains(r));
+                let ballots = accepted.map(|r| (*r, ballot(r))).collect();
                 self.after_disk(from, Poll::Answer(*serial, ballots))
             }
             Poll::Fetch(register) => match self.slots.get(register).and_then(|s| s.held.clone()) {
@@ -195,6 +216,7 @@
             }
         }
         self.memory = Memory::Whole;
+        self.mark_read();
         vec![Act::Store(Record { slots: self.slots(), ..Record::default() }, Vec::new())]
     }
 
--- a/harbour/tests/seats.rs
+++ b/harbour/tests/seats.rs
@@ -6,7 +6,7 @@
 use harbour::crew::Ended;
 use harbour::helm::{Change, Helm};
 use harbour::{Act, Outcome, Refusal, Reseat};
-use signal::{Duty, Muster, Node, Poll, REGISTERS, Register, Word};
+use signal::{Ballot, Duty, Held, Muster, Node, Poll, REGISTERS, Register, Word};
 use sounding::Fleet;
 use std::collections::BTreeSet;
 
@@ -496,6 +496,25 @@
     assert!(!acts.iter().any(|act| matches!(act, Act::Done(_, Outcome::Chosen))), "{acts:?}");
 }
 
+/// Guards against a majority of an old answer and a new one: the voter of the old one has lost its disk since, and read from the
+/// others before the second of them accepted what it names.
+#[test]
+fn an_answer_from_before_a_disk_was_lost_is_not_counted_with_later_ones() {
+    let mut helm = Helm::new(4, 1);
+    helm.set_muster(0.0, &Muster::first(&[1, 2, 3]));
+    let held = Held { ballot: Ballot { round: 5, node: 3, nonce: 1 }, stamp: 2, ..Held::default() };
+    let answers = [(Register::Chart, held.ballot)];
+    for (node, now) in [(1, 0.1), (2, 3.0)] {
+        let asked = helm.tick(now).into_iter().find_map(|act| match act {
+            Act::Send(_, Word::Poll(_, Poll::Ask(serial))) => Some(serial),
+            _ => None,
+        });
+        helm.hear(now, node, &Poll::Answer(asked.expect("a question"), answers.to_vec()));
+    }
+    helm.hear(3.0, 2, &Poll::Fetched(Register::Chart, held));
+    assert_eq!(helm.chosen(Register::Chart), None);
+}
+
 /// A disk that was emptied names no epoch until it holds the slots as well, whatever it hears of and whenever it dies.
 #[test]
 fn an_emptied_disk_vouches_for_nothing_until_it_is_whole() {
