--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -147,9 +147,10 @@
             confirmed: self.helm.confirmed(Register::Muster),
             all: REGISTERS.iter().try_fold(f64::INFINITY, |all, r| Some(self.helm.confirmed(*r)?.min(all))),
             stale: REGISTERS.into_iter().filter(old).collect(),
+            whole: self.voter.whole(),
             duties: !self.duties.posts(now).is_empty() || !self.duties.granted_posts().is_empty(),
         };
-        let (mut acts, changes) = self.crew.tick(now, &sight, self.voter.whole());
+        let (mut acts, changes) = self.crew.tick(now, &sight);
         for (token, change) in changes {
             let proposed = self.helm.propose(now, change, token);
             acts.extend(self.follow(now, proposed));
@@ -182,8 +183,7 @@
     pub fn reseat(&mut self, now: f64, order: Reseat, token: u64) -> Vec<Act> {
         match order {
             Reseat::Replace { old, new } => {
-                let whole = self.voter.whole();
-                let ended = self.crew.replace(now, token, old, new, whole);
+                let ended = self.crew.replace(now, token, old, new);
                 let mut acts: Vec<Act> = ended.into_iter().map(|outcome| Act::Done(token, outcome)).collect();
                 acts.extend(self.tick_crew(now));
                 acts
@@ -231,8 +231,8 @@
             zone: keepers.iter().find(|k| k.node == node).map(|k| k.zone.clone()),
             seat: self.muster.seats.contains(&node),
             comes: self.muster.coming.contains(&node),
-            heard: self.crew.seen(now, node),
-            whole: if node == self.me { Some(self.voter.whole()) } else { self.crew.is_whole(node) },
+            heard: self.crew.watch.silent(now, node),
+            whole: self.crew.watch.whole(node),
         };
         let slots = self.voter.slots().into_iter();
         Voters {
@@ -455,7 +455,7 @@
 
     /// A word of another control gateway, or of this one to itself.
     pub fn hear(&mut self, now: f64, from: Node, word: Word) -> Vec<Act> {
-        self.crew.heard(now, from);
+        self.crew.watch.heard(now, from);
         match word {
             Word::Greet { keeper, muster } => {
                 self.voter.greeted(from);
@@ -465,7 +465,7 @@
             }
             Word::Beat(beat) => {
                 self.heard_clock(now, beat.clock);
-                self.crew.told(from, beat.whole, &beat.missing);
+                self.crew.watch.told(from, beat.whole, &beat.missing);
                 let mut acts = self.stand(now, &beat.muster);
                 self.journal.append(now, Event::Heard(from));
                 beat.posts.iter().for_each(|&post| self.duties.told(now, from, post));
--- a/harbour/src/crew.rs
+++ b/harbour/src/crew.rs
@@ -6,6 +6,7 @@
 
 use crate::duties::SPAN;
 use crate::helm::Change;
+use crate::watch::{MOST_HEARD, Watch};
 use crate::{Act, Outcome, Refusal};
 use signal::{Ballot, Keeper, Muster, Node, REGISTERS, Register};
 use std::collections::BTreeMap;
@@ -28,31 +29,11 @@
 /// within another.
 const FIRST_TURN: f64 = 0.3;
 const FIRST_WAIT: f64 = 2.5;
-/// Heard of lately: several beats are due in that time.
-const LATELY: f64 = 2.0;
-/// A longer silence ends a steady presence.
-const GAP: f64 = 5.0;
-/// A gateway is taken in unasked only after so long a steady presence: it is no process that starts again and again.
-const STEADY: f64 = 30.0;
-/// A voter that was not heard of for so long is replaced unasked: rolls, reboots, wiped disks (4 to 6 s to come back) and cuts of
-/// links are over by then, and every one of them is borne meanwhile. Being wrong costs one change back, no data.
-const ABSENT: f64 = 300.0;
-/// Gateways whose presence is kept in mind; the roster knows no more either.
-const MOST_HEARD: usize = 64;
 /// What a person named at a founding anew is waited for so long; then those that are there are taken in.
 const NAMED_WAIT: f64 = 5.0;
 /// An order to replace ends as unclear by then: its caller waits hardly longer. The change goes on.
 const ORDER_WAITS: f64 = 2.5;
 
-/// What is known of another control gateway's presence.
-#[derive(Clone, Debug)]
-struct Heard {
-    since: f64,
-    last: f64,
-    whole: bool,
-    missing: Vec<Node>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Try {
     Settle(Register),
@@ -84,6 +65,8 @@
     pub all: Option<f64>,
     /// Chosen under a founding before this one.
     pub stale: Vec<Register>,
+    /// Is this gateway's voter whole?
+    pub whole: bool,
     /// Somebody held a duty once, as far as is known.
     pub duties: bool,
 }
@@ -95,10 +78,7 @@
     began: f64,
     /// When this epoch began here.
     stood: f64,
-    /// Since when enough have confirmed who votes, without a gap; and when this was looked at last.
-    steady: f64,
-    looked: f64,
-    heard: BTreeMap<Node, Heard>,
+    pub watch: Watch,
     tries: BTreeMap<u64, Try>,
     tokens: u64,
     /// Under which ballot each register was first settled in this epoch, by this gateway, and when the last one was.
@@ -127,9 +107,7 @@
             muster: Muster::default(),
             began: now,
             stood: now,
-            steady: now,
-            looked: now,
-            heard: BTreeMap::new(),
+            watch: Watch::new(now, me),
             tries: BTreeMap::new(),
             tokens: OWN_TOKENS,
             settled: BTreeMap::new(),
@@ -179,27 +157,6 @@
         self.order.take().map(|order| Act::Done(order.token, outcome)).into_iter().collect()
     }
 
-    /// A word came from that gateway.
-    pub fn heard(&mut self, now: f64, from: Node) {
-        if from == self.me || (self.heard.len() >= MOST_HEARD && !self.heard.contains_key(&from)) {
-            return;
-        }
-        let fresh = Heard { since: now, last: now, whole: false, missing: Vec::new() };
-        let heard = self.heard.entry(from).or_insert(fresh);
-        if now > heard.last + GAP {
-            heard.since = now;
-        }
-        heard.last = now;
-    }
-
-    /// What a beat says about its sender.
-    pub fn told(&mut self, from: Node, whole: bool, missing: &[Node]) {
-        if let Some(heard) = self.heard.get_mut(&from) {
-            heard.whole = whole;
-            heard.missing = missing.iter().take(MOST_HEARD).copied().collect();
-        }
-    }
-
     /// A voter said in this epoch that its disk holds a register under that ballot.
     pub fn holds(&mut self, from: Node, register: Register, ballot: Ballot) {
         if self.muster.coming.contains(&from) {
@@ -208,36 +165,17 @@
         }
     }
 
-    pub fn seen(&self, now: f64, node: Node) -> Option<f64> {
-        if node == self.me { Some(0.0) } else { self.heard.get(&node).map(|heard| now - heard.last) }
-    }
-
-    pub fn is_whole(&self, node: Node) -> Option<bool> {
-        self.heard.get(&node).map(|heard| heard.whole)
-    }
-
     pub fn last(&self) -> Option<&(f64, Ended)> {
         self.last.as_ref()
     }
 
-    fn here(&self, now: f64, node: Node) -> bool {
-        self.seen(now, node).is_some_and(|ago| ago < LATELY)
-    }
-
-    /// There, and with all that its disk ever promised; of this gateway as `whole` says.
-    fn sound(&self, now: f64, node: Node, whole: bool) -> bool {
-        self.here(now, node) && if node == self.me { whole } else { self.is_whole(node) == Some(true) }
-    }
-
-    /// Voters that were not heard of for very long, while a majority was.
+    /// Voters that were not heard of for very long.
     pub fn missing(&self, now: f64) -> Vec<Node> {
-        let last = |node: &Node| self.heard.get(node).map_or(self.began, |heard| heard.last);
-        let absent = |node: &Node| *node != self.me && now > last(node).max(self.steady) + ABSENT;
-        self.muster.voters().into_iter().filter(absent).collect()
+        self.watch.missing(now, &self.muster)
     }
 
     /// An operator's order that `new` take the seat of `old`; what it ends with at once, if it does.
-    pub fn replace(&mut self, now: f64, token: u64, old: Node, new: Node, whole: bool) -> Option<Outcome> {
+    pub fn replace(&mut self, now: f64, token: u64, old: Node, new: Node) -> Option<Outcome> {
         let refused = |refusal| Some(Outcome::Refused(refusal));
         let seats = &self.muster.seats;
         let mut next: Vec<Node> = seats.iter().filter(|node| **node != old).copied().collect();
@@ -257,10 +195,10 @@
             (false, _) => return refused(Refusal::NoSeat),
             _ => {}
         }
-        if !self.here(now, new) {
+        if !self.watch.here(now, new) {
             return refused(Refusal::Absent);
         }
-        if !self.can_change(now, &next, whole) {
+        if !self.can_change(now, &next) {
             return refused(Refusal::NotWhole);
         }
         self.order = Some(Order { token, until: now + ORDER_WAITS, seats: next });
@@ -268,10 +206,10 @@
     }
 
     /// Is there a majority of both sets, whole but for those that come?
-    fn can_change(&self, now: f64, next: &[Node], whole: bool) -> bool {
+    fn can_change(&self, now: f64, next: &[Node]) -> bool {
         let joint = self.muster.begin(next.to_vec());
-        let comes = |node| !self.muster.seats.contains(&node) && self.here(now, node);
-        joint.enough(|node| comes(node) || self.sound(now, node, whole))
+        let comes = |node| !self.muster.seats.contains(&node) && self.watch.here(now, node);
+        joint.enough(|node| comes(node) || self.watch.sound(now, node))
     }
 
     /// Those that a person named when founding anew, this gateway among them.
@@ -327,13 +265,8 @@
     }
 
     /// What is to be proposed now; called now and then. What comes of it is told to `done` and `stand`.
-    pub fn tick(&mut self, now: f64, sight: &Sight, whole: bool) -> (Vec<Act>, Vec<(u64, Change)>) {
-        // Who stood still, or was alone, has not missed the others: they have missed it.
-        let confirmed = sight.confirmed.is_some_and(|at| at > now - GAP);
-        if !confirmed || now > self.looked + GAP {
-            self.steady = now;
-        }
-        self.looked = now;
+    pub fn tick(&mut self, now: f64, sight: &Sight) -> (Vec<Act>, Vec<(u64, Change)>) {
+        self.watch.look(now, sight.confirmed, sight.whole);
         let late = self.order.take_if(|order| now > order.until);
         let mut acts: Vec<Act> =
             late.map(|order| Act::Done(order.token, Outcome::Unclear)).into_iter().collect();
@@ -352,7 +285,7 @@
         } else if !self.founded() {
             self.begin_first(now, sight)
         } else {
-            self.look_after(now, sight, whole)
+            self.look_after(now, sight)
         };
         (acts, changes)
     }
@@ -427,7 +360,7 @@
     /// The first change, from the seeds to as many as are needed; or to the seeds, where no others come.
     fn begin_first(&mut self, now: f64, sight: &Sight) -> Vec<(u64, Change)> {
         let Some(place) = self.place(&self.muster.seats) else { return Vec::new() };
-        let others = self.others(|node| self.here(now, node));
+        let others = self.watch.others(now, &self.muster, false);
         let set = self.grown(&others, sight.keepers).unwrap_or(self.muster.seats.clone());
         if set.len() < self.needed && now < self.began + FIRST_WAIT {
             return Vec::new();
@@ -439,19 +372,14 @@
         self.next(self.muster.begin(set))
     }
 
-    /// Gateways without a vote of which that holds.
-    fn others(&self, holds: impl Fn(Node) -> bool) -> Vec<Node> {
-        self.heard.keys().copied().filter(|&node| !self.muster.votes(node) && holds(node)).collect()
-    }
-
-    fn look_after(&mut self, now: f64, sight: &Sight, whole: bool) -> Vec<(u64, Change)> {
+    fn look_after(&mut self, now: f64, sight: &Sight) -> Vec<(u64, Change)> {
         if let Some(order) = &self.order {
             let next = self.muster.begin(order.seats.clone());
             return self.next(next);
         }
         // In touch with a majority of this epoch.
         let place = self.place(&self.muster.seats);
-        let sure = sight.confirmed.is_some_and(|at| at > self.stood.max(now - LATELY));
+        let sure = Watch::in_touch(now, sight.confirmed, self.stood);
         let (Some(place), true) = (place, sure) else {
             self.due = None;
             return Vec::new();
@@ -459,7 +387,7 @@
         if !sight.stale.is_empty() {
             return sight.stale.iter().filter_map(|&register| self.settle(register)).collect();
         }
-        let Some(set) = self.plan(now, sight, whole) else {
+        let Some(set) = self.plan(now, sight) else {
             self.due = None;
             return Vec::new();
         };
@@ -471,32 +399,29 @@
     }
 
     /// The set that should be, where that is another one than stands.
-    fn plan(&self, now: f64, sight: &Sight, whole: bool) -> Option<Vec<Node>> {
+    fn plan(&self, now: f64, sight: &Sight) -> Option<Vec<Node>> {
         let seats = &self.muster.seats;
-        let can = |set: &Vec<Node>| self.can_change(now, set, whole);
+        let can = |set: &Vec<Node>| self.can_change(now, set);
         if !self.named.is_empty() {
-            let there: Vec<Node> = self.named.iter().copied().filter(|&node| self.here(now, node)).collect();
+            let there: Vec<Node> =
+                self.named.iter().copied().filter(|&node| self.watch.here(now, node)).collect();
             let waited = there.len() == self.named.len() || now > self.named_at + NAMED_WAIT;
             let all = Crew::filled(seats, &there, sight.keepers, seats.len() + there.len());
             return Some(all).filter(|all| waited && all.len() > seats.len() && can(all));
         }
-        let steady = |node: Node| {
-            self.here(now, node) && self.heard.get(&node).is_some_and(|h| now > h.since + STEADY)
-        };
-        let spare = self.others(steady);
+        let spare = self.watch.others(now, &self.muster, true);
         // Nothing is begun unasked but by a set that is all there, or all but the one that is to be replaced.
         let gone = self.missing(now);
         let rest: Vec<Node> = seats.iter().copied().filter(|node| !gone.contains(node)).collect();
-        if !rest.iter().all(|&node| self.sound(now, node, whole)) {
+        if !rest.iter().all(|&node| self.watch.sound(now, node)) {
             return None;
         }
         if gone.is_empty() {
             return self.grown(&spare, sight.keepers).filter(can);
         }
-        let says = |node: Node, old: Node| {
-            node == self.me || self.heard.get(&node).is_some_and(|h| h.missing.contains(&old))
-        };
-        let old = gone.into_iter().find(|&old| self.muster.enough(|node| node != old && says(node, old)))?;
+        let old = gone
+            .into_iter()
+            .find(|&old| self.muster.enough(|node| node != old && self.watch.says_missing(node, old)))?;
         let left: Vec<Node> = seats.iter().copied().filter(|node| *node != old).collect();
         let set = Crew::filled(&left, &spare, sight.keepers, seats.len());
         Some(set).filter(|set| set.len() == seats.len() && set != seats && can(set))
--- a/harbour/src/lib.rs
+++ b/harbour/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod roster;
 mod texts;
 pub mod voter;
+pub mod watch;
 
 use signal::{Mark, Muster, Node, Post, Register, Slot, Word};
 
--- a/harbour/tests/seats.rs
+++ b/harbour/tests/seats.rs
@@ -41,7 +41,8 @@
         let (token, newest) = (ORDER + u64::from(node), fleet.checks.acknowledged());
         let held = fleet.live[&node].helm.chosen(Register::Chart).map_or(0, |held| held.stamp);
         assert!(held >= newest, "{why}: {node} holds {held}, {newest} was acknowledged");
-        fleet.replace(node, token, newest + 1);
+        // Above all numbers that were ever tried.
+        fleet.replace(node, token, 1000 * fleet.now as u64 + u64::from(node));
         fleet.run(1.0);
         assert_eq!(fleet.done.get(&token), Some(&Outcome::Chosen), "{why}: through {node}");
     }
@@ -343,6 +344,27 @@
     });
 }
 
+/// Terms go on growing where the voters that granted them are gone: who comes reads what was granted before it votes.
+#[test]
+fn terms_grow_through_a_change_and_a_kill_of_all() {
+    for seed in 0..20 {
+        let mut fleet = up(seed);
+        let term = |fleet: &Fleet, duty| {
+            let posts = fleet.live.iter().flat_map(|(n, c)| c.duties.posts(fleet.clock(*n)));
+            posts.filter(|post| post.duty == duty).map(|post| post.term).max()
+        };
+        let before = signal::DUTIES.map(|duty| term(&fleet, duty));
+        fleet.reseat(1, 2, REPLACE);
+        fleet.run(2.5);
+        assert_eq!(fleet.done.get(&2), Some(&Outcome::Chosen), "seed {seed}");
+        (1..=4).for_each(|node| fleet.kill(node, false));
+        [2, 4].iter().for_each(|&node| fleet.start(node, false));
+        fleet.run(3.0);
+        let after = signal::DUTIES.map(|duty| term(&fleet, duty));
+        assert!(after[0] > before[0] && after[1] > before[1], "seed {seed}: {before:?} {after:?}");
+    }
+}
+
 /// A holder whose grants are all from voters of the old set, and which hears of nothing; `early`: the planted fault, a new set
 /// that stands before those grants are over.
 fn cut_off_holder(seed: u64, early: bool) -> Result<(), String> {
@@ -588,9 +610,9 @@
         fleet.checks = sounding::checks::Checks::default();
         let epoch = muster(&fleet, 1).epoch;
         fleet.reseat(1, 3, Reseat::Refound { epoch, seats: vec![1, 4] });
-        fleet.run(1.0);
+        fleet.run(2.5);
         assert_eq!(fleet.done.get(&3), Some(&Outcome::Chosen), "{why}");
-        fleet.run(4.0);
+        fleet.run(3.0);
         assert_eq!(stands(&fleet, &why).seats, [1, 4], "{why}");
         fleet.kill(1, false);
         fleet.start(1, false);
