--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -196,6 +196,7 @@
         if !self.muster.votes(from) {
             return Vec::new();
         }
+        self.asking.forget(now);
         match poll {
             Poll::Promise(register, ballot, held) => self.promised(now, from, *register, *ballot, held),
             Poll::Accepted(register, ballot) => self.accepted(now, from, *register, *ballot),
@@ -252,7 +253,8 @@
         };
         let Phase::Accepting(held, outcome, yes) = &mut work.phase else { return Vec::new() };
         yes.insert(from);
-        if !muster.enough(|node| yes.contains(&node)) {
+        // The same here: what was accepted first may be forgotten by now.
+        if !muster.enough(|node| yes.contains(&node)) || now > work.wish.until {
             return Vec::new();
         }
         let (held, outcome) = (held.clone(), *outcome);
--- a/harbour/src/voter.rs
+++ b/harbour/src/voter.rs
@@ -5,7 +5,7 @@
 
 use crate::{Act, Record};
 use signal::{Ballot, Held, Muster, Node, Poll, REGISTERS, Register, Slot};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Longer than any attempt to write lives (`helm::LIFE`), held-up answers of its first half included: a voter that
 /// forgot a promise is back only when the attempt that it was made to is over, so that it can't be counted twice.
@@ -13,6 +13,8 @@
 /// Who has not told by then is asked again, and then only after twice as long each time: two ways and two slow syncs fit in,
 /// and a large configuration on a narrow link is not sent again while it is still coming.
 const RECALL_AGAIN: f64 = 0.75;
+/// The longest such wait: so much of a time without links is lost after it, where they don't come up anew.
+const RECALL_MOST: f64 = 4.0;
 
 /// What a voter without a memory has done to get it back. An answer counts whenever it comes: it was given after `FORGET`, when
 /// all attempts that counted a word from before the loss were over, so that whoever told has since then only promised and
@@ -49,6 +51,9 @@
     slots: BTreeMap<Register, Slot>,
     memory: Memory,
     serial: u64,
+    /// Registers whose value this voter may only have read from others, after it had promised a later ballot: it hands on what it
+    /// read, but does not count among those that accepted it.
+    read: BTreeSet<Register>,
 }
 
 impl Voter {
@@ -56,7 +61,10 @@
     pub fn new(now: f64, me: Node, slots: Option<BTreeMap<Register, Slot>>) -> Voter {
         let forgotten = Memory::Forgotten(Recall { since: now, ..Recall::default() });
         let memory = if slots.is_some() { Memory::Whole } else { forgotten };
-        Voter { me, muster: Muster::default(), slots: slots.unwrap_or_default(), memory, serial: 0 }
+        let (muster, slots) = (Muster::default(), slots.unwrap_or_default());
+        let mut voter = Voter { me, muster, slots, memory, serial: 0, read: BTreeSet::new() };
+        voter.mark_read();
+        voter
     }
 
     /// Another epoch: what was told in the one before counts for nothing, and is asked for anew at once.
@@ -79,6 +87,26 @@
         self.serial = number;
     }
 
+    /// A link to that one came up anew: what was asked or told on the one before may be lost.
+    pub fn greeted(&mut self, from: Node) {
+        if let Some((at, _)) = self.memory.recall().and_then(|recall| recall.asked.get_mut(&from)) {
+            *at = f64::NEG_INFINITY;
+        }
+    }
+
+    /// A value below what is promised may have been read, or accepted before the promise: the disk doesn't tell, and the first is
+    /// taken to be so. What stands under the very ballot that was promised may be counted either way.
+    fn mark_read(&mut self) {
+        let below = |slot: &Slot| slot.held.as_ref().is_some_and(|held| held.ballot < slot.promised);
+        self.read =
+            self.slots.iter().filter(|(_, slot)| below(slot)).map(|(register, _)| *register).collect();
+    }
+
+    /// Registers on which this voter does not count until it accepts again.
+    pub fn read(&self) -> Vec<Register> {
+        self.read.iter().copied().collect()
+    }
+
     /// Whose slots it has to read: those of the seats before it, or of all that vote.
     fn tellers(&self) -> Muster {
         match self.memory {
@@ -109,7 +137,7 @@
         for node in tellers.voters() {
             let (at, wait) = recall.asked.get(&node).copied().unwrap_or((f64::NEG_INFINITY, RECALL_AGAIN));
             if node != self.me && !recall.told.contains_key(&node) && now >= at + wait {
-                let next = if at.is_finite() { 2.0 * wait } else { wait };
+                let next = if at.is_finite() { (2.0 * wait).min(RECALL_MOST) } else { wait };
                 recall.asked.insert(node, (now, next));
                 acts.push(Act::Send(node, word.clone()));
             }
@@ -149,13 +177,15 @@
                 }
                 slot.promised = held.ballot;
                 slot.held = Some(held.clone());
+                self.read.remove(register);
                 self.store(*register, from, Poll::Accepted(*register, held.ballot))
             }
             Poll::Ask(serial) => {
                 let ballot = |r: &Register| {
                     self.slots.get(r).and_then(|s| s.held.as_ref()).map_or(Ballot::default(), |h| h.ballot)
                 };
-                let ballots = REGISTERS.iter().map(|r| (*r, ballot(r))).collect();
+                let accepted = REGISTERS.iter().filter(|r| !self.read.contains(r));
+                let ballots = accepted.map(|r| (*r, ballot(r))).collect();
                 self.after_disk(from, Poll::Answer(*serial, ballots))
             }
             Poll::Fetch(register) => match self.slots.get(register).and_then(|s| s.held.clone()) {
@@ -186,6 +216,7 @@
             }
         }
         self.memory = Memory::Whole;
+        self.mark_read();
         vec![Act::Store(Record { slots: self.slots(), ..Record::default() }, Vec::new())]
     }
 
