--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -212,7 +212,7 @@
             }
             Poll::Answer(serial, ballots) => self.answered(now, from, *serial, ballots),
             // From one voter alone it is no proof: it counts once a majority names its ballot.
-            Poll::Fetched(register, held) if self.asking.names(&self.muster, *register, held.ballot) => {
+            Poll::Fetched(register, held) if self.asking.names(now, &self.muster, *register, held.ballot) => {
                 self.learn(*register, held)
             }
             _ => Vec::new(),
@@ -271,7 +271,7 @@
             if theirs == mine {
                 self.asking.confirm(&self.muster, register, mine);
             } else if theirs > mine
-                && self.asking.names(&self.muster, register, theirs)
+                && self.asking.names(now, &self.muster, register, theirs)
                 && self.asking.fetches(now, register, theirs)
             {
                 acts.push(Act::Send(from, self.muster.say(Poll::Fetch(register))));
--- a/harbour/src/helm/ask.rs
+++ b/harbour/src/helm/ask.rs
@@ -19,6 +19,9 @@
 const MOST_OUT: usize = 256;
 /// What a majority names and is not held here is fetched again after this.
 const FETCH_AGAIN: f64 = 0.25;
+/// Answers to questions asked longer ago are not put together with later ones to know what a majority holds: a voter that
+/// answered may have lost its disk since, and be back (2.5 s later at the soonest) without what it had accepted.
+const TOGETHER: f64 = 2.4;
 /// So many times in a row a majority answered, each with something else: nobody is about to finish it.
 const SPLIT: u32 = 2;
 
@@ -127,8 +130,8 @@
         self.judged = now;
         let mut apart = Vec::new();
         for register in REGISTERS {
-            let named = self.answers.values().filter_map(|a| a.ballots.get(&register).copied());
-            if named.collect::<Vec<_>>().into_iter().any(|ballot| self.names(muster, register, ballot)) {
+            let mut named = self.answers.values().filter_map(|a| a.ballots.get(&register));
+            if named.any(|ballot| self.names(now, muster, register, *ballot)) {
                 self.split.remove(&register);
                 continue;
             }
@@ -153,8 +156,8 @@
     }
 
     /// Does a majority hold this ballot, by their newest answers?
-    pub fn names(&self, muster: &Muster, register: Register, ballot: Ballot) -> bool {
-        muster.enough(|node| self.since(node, register, ballot).is_some())
+    pub fn names(&self, now: f64, muster: &Muster, register: Register, ballot: Ballot) -> bool {
+        muster.enough(|node| self.since(node, register, ballot).is_some_and(|at| now < at + TOGETHER))
     }
 
     /// When the question was asked to which that voter answered so.
--- a/harbour/tests/contact.rs
+++ b/harbour/tests/contact.rs
@@ -7,7 +7,7 @@
 use harbour::helm::Helm;
 use harbour::journal::Event;
 use roads::Roads;
-use signal::{Ballot, Beat, Held, Muster, Node, Piece, Poll, Register, Vector, Word};
+use signal::{Ballot, Beat, Held, Hosts, Muster, Node, Piece, Poll, Register, Vector, Word};
 
 /// Guards against reads that starve confirmation: each one began a new question and dropped the answers on their way, so
 /// that with a read every few milliseconds none was ever answered, and every lease ended.
@@ -174,26 +174,35 @@
     });
 }
 
+/// The number of the question that is asked at that time.
+fn question(helm: &mut Helm, now: f64) -> u64 {
+    let serial = |act: Act| match act {
+        Act::Send(_, Word::Poll(_, Poll::Ask(serial))) => Some(serial),
+        _ => None,
+    };
+    helm.tick(now).into_iter().find_map(serial).expect("a question")
+}
+
+fn answer(serial: u64, round: u64) -> Poll {
+    Poll::Answer(serial, vec![(Register::Chart, ballot(round))])
+}
+
 /// Guards against an answer that hung at a voter's disk through the asker's restart: questions were numbered from nought in
-/// each life, so that it was taken for one to this life's question, and vouched for what had long been replaced.
+/// each life, so that it was taken for one to this life's question, and vouched for what had long been replaced. An earlier
+/// epoch's counts as little.
 #[test]
-fn an_answer_to_an_earlier_lifes_question_counts_for_nothing() {
-    let ask = |helm: &mut Helm, now| {
-        let serial = |act: Act| match act {
-            Act::Send(_, Word::Poll(_, Poll::Ask(serial))) => Some(serial),
-            _ => None,
-        };
-        helm.tick(now).into_iter().find_map(serial).expect("a question")
-    };
-    let answer = |serial, round| Poll::Answer(serial, vec![(Register::Chart, ballot(round))]);
+fn an_answer_to_a_question_of_an_earlier_life_or_epoch_counts_for_nothing() {
     let mut before = Asked::helm(1);
-    let old = ask(&mut before, 1.0);
+    let old = question(&mut before, 1.0);
     // The asker starts anew; meanwhile 2 is chosen in the place of 1.
     let mut helm = Asked::helm(2);
-    let new = ask(&mut helm, 9.0);
+    let first = question(&mut helm, 9.0);
+    helm.set_muster(9.0, &Muster::first(&[1, 2, 3]).begin(vec![1, 2, 4]));
+    let new = question(&mut helm, 9.1);
     helm.learn(Register::Chart, &held(1));
-    for voter in [1, 2] {
-        helm.hear(9.1, voter, &answer(old, 1));
+    for voter in [1, 2, 4] {
+        helm.hear(9.2, voter, &answer(old, 1));
+        helm.hear(9.2, voter, &answer(first, 1));
     }
     assert_eq!(helm.confirmed(Register::Chart), None);
     for voter in [1, 2] {
@@ -201,7 +210,25 @@
     }
     assert_eq!(helm.confirmed(Register::Chart), None, "what is held was replaced");
     helm.learn(Register::Chart, &held(2));
-    assert_eq!(helm.confirmed(Register::Chart), Some(9.0), "since the question, not since the answers");
+    assert_eq!(helm.confirmed(Register::Chart), Some(9.1), "since the question, not since the answers");
+}
+
+/// Guards against what two voters held, one before it lost its disk and the other long after, taken for chosen.
+#[test]
+fn answers_far_apart_are_no_majority() {
+    for (later, together) in [(1.0, true), (2.6, false), (9.0, false)] {
+        let mut helm = Asked::helm(1);
+        let mut serial = question(&mut helm, 1.0);
+        helm.hear(1.1, 1, &answer(serial, 5));
+        let mut now = 1.0;
+        while now < 1.0 + later {
+            now += 0.4;
+            serial = question(&mut helm, now);
+        }
+        let fetches = !helm.hear(now, 2, &answer(serial, 5)).is_empty();
+        helm.hear(now, 2, &Poll::Fetched(Register::Chart, held(5)));
+        assert_eq!((fetches, helm.chosen(Register::Chart).is_some()), (together, together), "{later}");
+    }
 }
 
 /// Six control gateways, all in contact, with a configuration, evacuations, and two data gateways in session with each.
@@ -252,13 +279,18 @@
 fn who_is_cut_off_claims_nothing_since() {
     for (seed, (out, into)) in [(true, true), (true, false), (false, true)].into_iter().enumerate() {
         for length in [1.0, 5.0, 60.0] {
-            let mut roads = six(seed as u64);
+            let (mut roads, mut term) = (six(seed as u64), 10);
             for _ in 0..3 {
                 roads.cut_off(6, out, into);
                 // What is on its way when it begins may still be answered.
                 hailed(&mut roads, 0.1, 0, |_| {});
                 let began = roads.now;
                 roads.evacuate(1, 10 + (roads.now * 100.0) as u64, roads.now % 2.0 < 1.0);
+                // Both take themselves for the lookout, each in its term.
+                term += 1;
+                let list = |term, version| Hosts { term, version, lines: Vec::new() };
+                roads.step(6, |control, now| control.list(now, list(term, 9)));
+                roads.step(1, |control, now| control.list(now, list(term + 1, 1)));
                 hailed(&mut roads, length, 0, |roads| {
                     let (theirs, other) = (beat(roads, 6), beat(roads, 1));
                     let age = theirs.confirmed.expect("confirmed before");
@@ -266,14 +298,16 @@
                     assert!(theirs.vector.chart <= other.vector.chart);
                     assert!(theirs.vector.evacuations <= other.vector.evacuations);
                     for post in &theirs.posts {
-                        let stands = other.posts.iter().find(|p| p.duty == post.duty);
-                        assert!(stands.is_none_or(|p| p.term >= post.term), "{post:?} {stands:?}");
+                        let known = (1..6).flat_map(|node| beat(roads, node).posts);
+                        let newest = known.filter(|p| p.duty == post.duty).map(|p| p.term).max();
+                        assert!(newest.is_none_or(|term| term >= post.term), "{post:?}, not {newest:?}");
                     }
                 });
                 roads.cut.clear();
                 hailed(&mut roads, 1.5, 0, |_| {});
                 assert!(beat(&roads, 6).confirmed.is_some_and(|age| age < 1.0));
-                assert_eq!(beat(&roads, 6).vector.evacuations, beat(&roads, 1).vector.evacuations);
+                let (theirs, other) = (beat(&roads, 6).vector, beat(&roads, 1).vector);
+                assert_eq!((theirs.evacuations, theirs.hosts), (other.evacuations, (term + 1, 1)));
             }
         }
     }
--- a/harbour/tests/numbers.rs
+++ b/harbour/tests/numbers.rs
@@ -1,5 +1,5 @@
-//! One number, one text, ever; and an order's order: races of many operators at many gateways, with lost words, cuts,
-//! frozen and killed gateways, callers that move on and send again.
+//! One number, one text, ever; and an order's order: races of many operators at many gateways, with words lost, late and
+//! twice, cuts, frozen and killed gateways, callers that move on and send again.
 
 mod roads;
 
@@ -38,7 +38,7 @@
     fn new(seed: u64, texts: u8) -> Race {
         let mut roads = Roads::new(seed, 3 + 2 * (seed % 2) as Node, GATEWAYS);
         roads.run(0.5);
-        (roads.lossy, roads.sync, roads.fine) = (0.1, 0.02, 0.005);
+        (roads.lossy, roads.twice, roads.sync, roads.fine) = (0.1, 0.2, 0.02, 0.005);
         let mut race =
             Race { roads, callers: Vec::new(), tokens: 0, texts: BTreeMap::new(), seen: 0, winner: None };
         for text in 0..texts {
@@ -190,7 +190,7 @@
     bolero::check!().with_iterations(120).with_type::<(u64, Vec<(u8, u8, u8)>)>().for_each(|(seed, plan)| {
         let mut roads = Roads::new(*seed, 3, 5);
         roads.run(0.5);
-        (roads.lossy, roads.sync, roads.fine) = (0.15, 0.01, 0.005);
+        (roads.lossy, roads.twice, roads.sync, roads.fine) = (0.15, 0.2, 0.01, 0.005);
         let mut plan = plan.iter().take(12);
         let mut token = 0;
         let mut calls = 0;
--- a/harbour/tests/roads/mod.rs
+++ b/harbour/tests/roads/mod.rs
@@ -33,6 +33,8 @@
     /// Each way takes from this to twice as long.
     pub far: f64,
     pub lossy: f64,
+    /// The part of words that come again, seconds later.
+    pub twice: f64,
     /// How long a sync takes; with `grind` there is always one under way, for something else.
     pub sync: f64,
     pub grind: bool,
@@ -60,6 +62,7 @@
             way: Vec::new(),
             far: 0.006,
             lossy: 0.0,
+            twice: 0.0,
             sync: 0.001,
             grind: false,
             done: Vec::new(),
@@ -135,6 +138,10 @@
         }
         if self.chance.rand_float() >= self.lossy && !self.cut.contains(&(from, to)) {
             let way = self.far * (1.0 + self.chance.rand_float());
+            if self.chance.rand_float() < self.twice {
+                let again = self.now + way + 4.0 * self.chance.rand_float();
+                self.way.push((again, from, to, word.clone()));
+            }
             self.way.push((self.now + way, from, to, word));
         }
     }
