--- a/bridge/src/session.rs
+++ b/bridge/src/session.rs
@@ -11,8 +11,10 @@
 /// Three hails without an answer: the control gateway is left.
 const SILENT: f64 = 1.3;
 /// A control gateway that no majority has answered for so long is cut off itself: another may not be. Slow disks at a
-/// majority make it wait for less, and what is left of a lease is enough to come to another.
+/// majority make it wait for less.
 const STALE: f64 = 2.5;
+/// But so much of a lease must be left: the next one may not be reached, or be cut off as well and silent.
+const LEFT: f64 = 1.8;
 /// What was asked for and has not come is asked for again after this.
 const PULL_AGAIN: f64 = 1.0;
 /// After a configuration the next one may wait so long: to read one whole takes a small machine's time from its requests, and
@@ -205,7 +207,7 @@
         if now > standing.heard + SILENT {
             return self.end(now, node, "it is silent");
         }
-        if now > standing.fresh + STALE {
+        if now > standing.fresh + STALE.min(views.lease() - LEFT).max(HAIL_EVERY) {
             return self.end(now, node, "no majority answers it");
         }
         let nearer = nearest.is_some_and(|first| first < standing.far);
--- a/bridge/src/views.rs
+++ b/bridge/src/views.rs
@@ -124,6 +124,11 @@
         self.chart.clone().filter(|_| self.begun)
     }
 
+    /// For how long a majority's word holds.
+    pub fn lease(&self) -> f64 {
+        self.lease
+    }
+
     /// May keys be served by the configuration that is held?
     pub fn vouched(&self, now: f64) -> bool {
         now < self.vouched
--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -253,7 +253,8 @@
         let mut acts = self.voter.tick(now);
         acts.extend(self.helm.tick(now));
         acts.extend(self.duties.tick(now));
-        if self.journal.append(now, Event::Passed) || now >= self.beat_at + BEAT_EVERY {
+        let contact = self.muster.enough(|node| self.journal.roster.hears(now, node));
+        if self.journal.append(now, Event::Passed { contact }) || now >= self.beat_at + BEAT_EVERY {
             acts.extend(self.beat_all(now));
         }
         acts
--- a/harbour/src/journal.rs
+++ b/harbour/src/journal.rs
@@ -23,8 +23,8 @@
     Heard(Node, Vec<Node>),
     /// A list of hosts.
     Listed(Hosts),
-    /// Time passed: what went without a sign of life for long is over.
-    Passed,
+    /// Time passed: what went without a sign of life for long is over. `contact`: is a majority of the voters heard?
+    Passed { contact: bool },
 }
 
 impl Event {
@@ -42,7 +42,7 @@
             Event::Listed(hosts) => {
                 format!("list {}.{} of {} hosts", hosts.term, hosts.version, hosts.lines.len())
             }
-            Event::Passed => "a session fell silent".to_string(),
+            Event::Passed { .. } => "a session fell silent".to_string(),
         }
     }
 }
--- a/harbour/src/roster.rs
+++ b/harbour/src/roster.rs
@@ -14,8 +14,8 @@
 const COUNTED: f64 = 30.0;
 /// Those of a control gateway that fell silent itself are likely cut off with it: counted from so long after it was heard.
 const CUT: f64 = 60.0;
-/// Who heard less than half of the control gateways was cut off; so long after that it has heard of all sessions again:
-/// beats and what they have pulled came several times by then.
+/// Who did not hear a majority of the voters was cut off; so long after that it has heard of all sessions again: beats and
+/// what they have pulled came several times by then. Whoever is in contact is heard by a majority, and so by one of those.
 const CAUGHT_UP: f64 = 1.5;
 /// Most data and control gateways that are kept in mind; further ones are turned away.
 const MOST_PILOTS: usize = 2048;
@@ -31,7 +31,7 @@
     counted: BTreeMap<Node, f64>,
     /// When each other control gateway last gave a sign of life; as many as there are keepers.
     heard: BTreeMap<Node, f64>,
-    /// When less than half of them were last heard.
+    /// When a majority of the voters was last not heard.
     alone: f64,
 }
 
@@ -56,7 +56,7 @@
                 hears.iter().for_each(|source| self.still_there(now, *source));
                 false
             }
-            Event::Passed => self.pass(now),
+            Event::Passed { contact } => self.pass(now, *contact),
             Event::Listed(_) => false,
         }
     }
@@ -81,12 +81,11 @@
     }
 
     /// Forgets whose time is over; true where a session ended.
-    fn pass(&mut self, now: f64) -> bool {
+    fn pass(&mut self, now: f64, contact: bool) -> bool {
         let count = self.mine.len();
         self.mine.retain(|_, (_, at)| now < *at + SESSION);
         // Cut off itself it can't tell who is gone: too few would make shares too large once the cut is over.
-        let heard = self.heard.values().filter(|at| now < **at + SOURCE).count() + 1;
-        if 2 * heard <= self.keepers.len() {
+        if !contact {
             self.alone = now;
             self.counted.values_mut().for_each(|at| *at = now);
         }
@@ -143,13 +142,17 @@
         [(self.keeper.node, self.boot, self.version)].into_iter().chain(others).collect()
     }
 
+    /// Did it, or this gateway itself, give a sign of life lately?
+    pub fn hears(&self, now: f64, node: Node) -> bool {
+        node == self.keeper.node || self.heard.get(&node).is_some_and(|at| now < at + SOURCE)
+    }
+
     /// Is there, in that vector, a source that is not heard here and of which something else is held?
     pub fn lacks(&self, now: f64, theirs: &[(Node, u64, u64)]) -> bool {
-        let unheard = |node: &Node| self.heard.get(node).is_none_or(|at| now >= at + SOURCE);
         let held = |node| self.others.get(node).map(|(s, _)| (s.boot, s.version));
-        theirs.iter().any(|(node, boot, version)| {
-            *node != self.keeper.node && unheard(node) && held(node) != Some((*boot, *version))
-        })
+        theirs
+            .iter()
+            .any(|(node, boot, version)| !self.hears(now, *node) && held(node) != Some((*boot, *version)))
     }
 
     /// What sources that are heard here told, and that vector does not name.
--- a/harbour/tests/contact.rs
+++ b/harbour/tests/contact.rs
@@ -384,6 +384,10 @@
     hailed(&mut roads, 1.5, 3, all(12));
     hailed(&mut roads, 5.0, 3, all(15));
     assert!(roads.live[&1].vector(roads.now).pilots != 0, "1 is in contact");
+    // Where half of the control gateways are gone for good, those of the majority of voters still tell.
+    (4..=6).for_each(|node| roads.kill(node));
+    hailed(&mut roads, 5.0, 0, all(15));
+    assert!(roads.live[&1].vector(roads.now).pilots != 0);
     // From all, through a start in the middle of it or not.
     for restarted in [false, true] {
         let mut roads = six(2);
