A book without room, or of a later term, adds nothing of a question

Guards what the asker relies on where it is told that nothing was added. With the book of before, which added until it met a name without room and took an older term for a new one, the test fails.

--- a/tally/tests/quota.rs
+++ b/tally/tests/quota.rs
@@ -157,3 +157,17 @@
     assert!(most <= BOUND.shares(quota.rate, quota.burst, 9), "{most}");
     assert!(most >= BOUND.shares(quota.rate, quota.burst, 9) * 0.8, "{most}");
 }
+
+/// "Not added" is true of all adds of a question, and a term that is over adds nothing: the asker claims them again.
+#[test]
+fn a_book_without_room_or_of_another_term_adds_nothing() {
+    let add = |name: u64| Add { name, amount: 1.0, keep: 50.0 };
+    let mut book = Book::default();
+    let mut fill = 0;
+    while book.add(0.0, 2, &[add(fill)]).is_some() {
+        fill += 1;
+    }
+    assert_eq!(book.add(0.0, 2, &[add(0), add(fill)]), None);
+    assert_eq!(book.add(0.0, 1, &[add(0)]), None);
+    assert_eq!(book.add(0.0, 2, &[add(0)]), Some(vec![2.0]));
+}
