--- /dev/null
+++ b/harbour/tests/registers.rs
@@ -0,0 +1,517 @@
+//! The rule by which who votes may change, as an abstract model that is gone through to its end: voters with an epoch and a
+//! promised and an accepted ballot for each of two registers, one of which is the set of voters itself; attempts of any
+//! number of writers, whose words come late, twice or never and who may stop at any step; one lost disk. No times, no texts:
+//! a value is the line of attempts that wrote it. `model.rs` and `sounding` put the very code to the same questions.
+
+use stateright::{Checker, Model, Property};
+
+/// Voters, as bits: seats of the first set, and the set that may come.
+type Set = u8;
+const NODES: usize = 4;
+const SEATS: Set = 0b0111;
+const COMING: Set = 0b1011;
+
+/// Registers: values, and who votes.
+const VALUE: usize = 0;
+const MUSTER: usize = 1;
+/// Attempts on each; 0 is none.
+const TRIES: usize = 4;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Muster {
+    seats: Set,
+    coming: Set,
+}
+
+impl Muster {
+    fn enough(self, yes: Set) -> bool {
+        let half = |set: Set| 2 * (set & yes).count_ones() > set.count_ones();
+        half(self.seats) && (self.coming == 0 || half(self.coming))
+    }
+
+    fn votes(self, node: usize) -> bool {
+        (self.seats | self.coming) >> node & 1 == 1
+    }
+
+    fn newcomers(self) -> Set {
+        self.coming & !self.seats
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Slot {
+    promised: u8,
+    accepted: u8,
+}
+
+impl Slot {
+    fn merge(self, other: Slot) -> Slot {
+        Slot { promised: self.promised.max(other.promised), accepted: self.accepted.max(other.accepted) }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Memory {
+    Whole,
+    Joining,
+    Forgotten,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Voter {
+    /// 0: not known.
+    epoch: u8,
+    memory: Memory,
+    slots: [Slot; 2],
+    told: Set,
+    read: [Slot; 2],
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wish {
+    Write,
+    Settle,
+    Begin,
+    Come,
+    Back,
+}
+
+const WISHES: [Wish; 5] = [Wish::Write, Wish::Settle, Wish::Begin, Wish::Come, Wish::Back];
+
+/// An attempt goes on the moment that enough have promised: a promise that is not counted only binds its voter, and whatever
+/// may happen then may happen without it too. So what it is for is decided then, and of promises the newest value is enough.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Attempt {
+    Unused,
+    Preparing {
+        epoch: u8,
+        promises: Set,
+        newest: u8,
+    },
+    Issued {
+        epoch: u8,
+        value: u16,
+        accepts: Set,
+        chosen: bool,
+    },
+    /// Nobody goes on with it.
+    Over,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct State {
+    voters: [Voter; NODES],
+    attempts: [[Attempt; TRIES]; 2],
+    /// Chosen sets: of epoch 1, 2 and so on.
+    line: Vec<Muster>,
+    wiped: Option<u8>,
+    broken: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Action {
+    Promise(usize, usize, usize, Wish),
+    Accept(usize, usize, usize),
+    Learn(usize, u8),
+    Wipe(usize),
+    Tell(usize, usize),
+}
+
+/// What is planted. Each has to be found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// The joint epoch ends before anything was settled in it.
+    EarlyEnd,
+    /// Voters answer to polls of any epoch.
+    NoEpochs,
+    /// An emptied voter takes itself for whole.
+    EmptiedCounts,
+    /// A newcomer is counted as having accepted what it has not.
+    NewcomerCounts,
+    /// What an emptied voter read counts as accepted, also below what the tellers promised since.
+    ReadCounts,
+}
+
+struct Change {
+    fault: Fault,
+    /// Attempts on each register.
+    tries: [usize; 2],
+    /// May a disk be lost, may the change be taken back?
+    wipes: bool,
+    back: bool,
+}
+
+fn bits(set: Set) -> impl Iterator<Item = usize> {
+    (0..NODES).filter(move |node| set >> node & 1 == 1)
+}
+
+/// Is one line of attempts the beginning of the other? Attempts are digits, the last one the lowest.
+fn begins(before: u16, mut after: u16) -> bool {
+    while after > before {
+        after /= 8;
+    }
+    before == after
+}
+
+impl State {
+    fn muster(&self, epoch: u8) -> Option<Muster> {
+        self.line.get(usize::from(epoch).checked_sub(1)?).copied()
+    }
+
+    fn value(&self, register: usize, attempt: u8) -> u16 {
+        match attempt.checked_sub(1).map(|n| &self.attempts[register][usize::from(n)]) {
+            Some(Attempt::Issued { value, .. }) => *value,
+            _ => 0,
+        }
+    }
+
+    /// The greatest attempt chosen in an epoch.
+    fn settled(&self, register: usize, in_epoch: u8) -> Option<u8> {
+        let chosen = |attempt: &Attempt| matches!(attempt, Attempt::Issued { epoch, chosen: true, .. } if *epoch == in_epoch);
+        self.attempts[register].iter().rposition(chosen).map(|n| n as u8 + 1)
+    }
+
+    /// May a writer of that epoch ask for that?
+    fn may(&self, change: &Change, register: usize, wish: Wish, epoch: u8) -> bool {
+        let Some(muster) = self.muster(epoch) else { return false };
+        let joint = muster.coming != 0;
+        let early = change.fault == Fault::EarlyEnd;
+        let settled = |register| self.settled(register, epoch);
+        let ready = || early || (settled(VALUE).is_some() && settled(MUSTER).is_some());
+        let taken = |node: usize| {
+            [VALUE, MUSTER].into_iter().all(|r| {
+                settled(r).is_none_or(|a| self.value(r, a) == 0 || self.voters[node].slots[r].accepted >= a)
+            })
+        };
+        match (register, wish) {
+            (VALUE, Wish::Write) => true,
+            (VALUE, Wish::Settle) | (MUSTER, Wish::Settle) => joint || change.wipes,
+            (MUSTER, Wish::Begin) => epoch == 1,
+            (MUSTER, Wish::Come) => {
+                joint
+                    && ready()
+                    && (early || bits(muster.newcomers()).all(taken) || change.fault == Fault::NewcomerCounts)
+            }
+            (MUSTER, Wish::Back) => change.back && joint && ready(),
+            _ => false,
+        }
+    }
+
+    /// The value of an attempt on top of what a majority held.
+    fn made(&self, register: usize, attempt: u8, wish: Wish, epoch: u8, newest: u8) -> u16 {
+        let before = self.value(register, newest);
+        let Some(muster) = self.muster(epoch) else { return before };
+        match wish {
+            Wish::Write => before * 8 + u16::from(attempt),
+            Wish::Settle => before,
+            // The set is a line as well: begun, and then come or taken back.
+            Wish::Begin if before == 0 => 1,
+            Wish::Come if before == 1 && muster.coming != 0 => 8 + 2,
+            Wish::Back if before == 1 && muster.coming != 0 => 8 + 3,
+            _ => before,
+        }
+    }
+
+    /// Counts an attempt as chosen where enough have accepted it.
+    fn count(&mut self, change: &Change, register: usize, n: usize) {
+        let Attempt::Issued { epoch, value, accepts, chosen: false } = self.attempts[register][n] else {
+            return;
+        };
+        let Some(muster) = self.muster(epoch) else { return };
+        let counted = if change.fault == Fault::NewcomerCounts { muster.newcomers() } else { 0 };
+        if value != 0 && !muster.enough(accepts | counted) {
+            return;
+        }
+        if let Attempt::Issued { chosen, .. } = &mut self.attempts[register][n] {
+            *chosen = true;
+        }
+        let all = self.attempts[register].iter().filter_map(|attempt| match attempt {
+            Attempt::Issued { value, chosen: true, .. } if *value != 0 => Some(*value),
+            _ => None,
+        });
+        let all: Vec<u16> = all.collect();
+        self.broken |= !all.windows(2).all(|two| begins(two[0], two[1]));
+        if register == MUSTER {
+            let next = match value {
+                1 => (2, Muster { seats: SEATS, coming: COMING }),
+                10 => (3, Muster { seats: COMING, coming: 0 }),
+                11 => (3, Muster { seats: SEATS, coming: 0 }),
+                _ => return,
+            };
+            if self.line.len() + 1 == next.0 {
+                self.line.push(next.1);
+            }
+        }
+    }
+
+    /// Can that voter answer a poll of that epoch?
+    fn answers(&self, change: &Change, node: usize, epoch: u8) -> bool {
+        let voter = &self.voters[node];
+        let there = voter.epoch == epoch || (change.fault == Fault::NoEpochs && voter.epoch != 0);
+        there && voter.memory == Memory::Whole && self.muster(epoch).is_some_and(|m| m.votes(node))
+    }
+
+    /// The first two voters are alike: one order of them stands for both.
+    fn canonical(mut self) -> State {
+        let mut other = self.clone();
+        other.voters.swap(0, 1);
+        let swap = |set: Set| (set & !3) | (set & 1) << 1 | (set >> 1) & 1;
+        for voter in &mut other.voters {
+            voter.told = swap(voter.told);
+        }
+        other.wiped = other.wiped.map(|node| if node < 2 { 1 - node } else { node });
+        for attempt in other.attempts.iter_mut().flatten() {
+            match attempt {
+                Attempt::Preparing { promises: set, .. } | Attempt::Issued { accepts: set, .. } => {
+                    *set = swap(*set)
+                }
+                Attempt::Unused | Attempt::Over => {}
+            }
+        }
+        if other < self {
+            self = other;
+        }
+        self
+    }
+
+    fn act(&mut self, change: &Change, action: Action) {
+        match action {
+            Action::Promise(node, register, n, wish) => {
+                let slot = &mut self.voters[node].slots[register];
+                let (before, epoch) = (slot.accepted, self.voters[node].epoch);
+                slot.promised = n as u8 + 1;
+                let (epoch, promises, newest) = match self.attempts[register][n] {
+                    Attempt::Preparing { epoch, promises, newest } => {
+                        (epoch, promises | 1 << node, newest.max(before))
+                    }
+                    _ => (epoch, 1 << node, before),
+                };
+                self.attempts[register][n] = Attempt::Preparing { epoch, promises, newest };
+                if self.muster(epoch).is_some_and(|muster| muster.enough(promises)) {
+                    let value = self.made(register, n as u8 + 1, wish, epoch, newest);
+                    self.attempts[register][n] = Attempt::Issued { epoch, value, accepts: 0, chosen: false };
+                    self.count(change, register, n);
+                }
+            }
+            Action::Accept(node, register, n) => {
+                self.voters[node].slots[register] = Slot { promised: n as u8 + 1, accepted: n as u8 + 1 };
+                self.holds(change, node, register, n as u8 + 1);
+            }
+            Action::Learn(node, epoch) => {
+                let Some(muster) = self.muster(epoch) else { return };
+                let voter = &mut self.voters[node];
+                voter.epoch = epoch;
+                voter.told = 0;
+                voter.read = Default::default();
+                voter.memory = match voter.memory {
+                    Memory::Forgotten => Memory::Forgotten,
+                    _ if muster.newcomers() >> node & 1 == 1 => Memory::Joining,
+                    _ => Memory::Whole,
+                };
+            }
+            Action::Wipe(node) => {
+                self.wiped = Some(node as u8);
+                let memory =
+                    if change.fault == Fault::EmptiedCounts { Memory::Whole } else { Memory::Forgotten };
+                let epoch = if memory == Memory::Whole { self.voters[node].epoch } else { 0 };
+                self.voters[node] =
+                    Voter { epoch, memory, slots: Default::default(), told: 0, read: Default::default() };
+            }
+            Action::Tell(node, teller) => self.tell(change, node, teller),
+        }
+    }
+
+    fn holds(&mut self, change: &Change, node: usize, register: usize, attempt: u8) {
+        let Some(n) = attempt.checked_sub(1).map(usize::from) else { return };
+        if let Attempt::Issued { accepts, .. } = &mut self.attempts[register][n] {
+            *accepts |= 1 << node;
+        }
+        self.count(change, register, n);
+    }
+
+    fn tell(&mut self, change: &Change, node: usize, teller: usize) {
+        let Some(muster) = self.muster(self.voters[node].epoch) else { return };
+        let slots = self.voters[teller].slots;
+        let forgotten = self.voters[node].memory == Memory::Forgotten;
+        if forgotten && self.voters[node].told == 0 {
+            // All attempts that it promised or accepted anything for before are over: nobody counts that any more.
+            for attempt in self.attempts.iter_mut().flatten() {
+                match attempt {
+                    Attempt::Preparing { promises, .. } if *promises >> node & 1 == 1 => {
+                        *attempt = Attempt::Over
+                    }
+                    Attempt::Issued { accepts, chosen: false, .. } => *accepts &= !(1 << node),
+                    _ => {}
+                }
+            }
+        }
+        let voter = &mut self.voters[node];
+        voter.told |= 1 << teller;
+        for (read, slot) in voter.read.iter_mut().zip(slots) {
+            *read = read.merge(slot);
+        }
+        let asked = if forgotten { muster } else { Muster { coming: 0, ..muster } };
+        if !asked.enough(voter.told) {
+            return;
+        }
+        let (read, unsettled) =
+            (voter.read, |slot: &Slot| slot.accepted != 0 && slot.promised > slot.accepted);
+        voter.told = 0;
+        voter.read = Default::default();
+        // Somebody has to settle it first; then it is asked for anew.
+        if forgotten && change.fault != Fault::ReadCounts && read.iter().any(unsettled) {
+            return;
+        }
+        voter.memory = Memory::Whole;
+        for (slot, read) in voter.slots.iter_mut().zip(read) {
+            *slot = slot.merge(read);
+        }
+        let slots = voter.slots;
+        for (register, slot) in slots.into_iter().enumerate() {
+            self.holds(change, node, register, slot.accepted);
+        }
+    }
+}
+
+impl Model for Change {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        let voter = Voter {
+            epoch: 1,
+            memory: Memory::Whole,
+            slots: Default::default(),
+            told: 0,
+            read: Default::default(),
+        };
+        let attempts = std::array::from_fn(|_| std::array::from_fn(|_| Attempt::Unused));
+        let line = vec![Muster { seats: SEATS, coming: 0 }];
+        vec![State {
+            voters: std::array::from_fn(|_| voter.clone()),
+            attempts,
+            line,
+            wiped: None,
+            broken: false,
+        }]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        let newest = state.line.len() as u8;
+        for register in [VALUE, MUSTER] {
+            for n in 0..self.tries[register] {
+                match &state.attempts[register][n] {
+                    Attempt::Over => {}
+                    Attempt::Unused | Attempt::Preparing { .. } => {
+                        for node in 0..NODES {
+                            let (epoch, promises) = match state.attempts[register][n] {
+                                Attempt::Preparing { epoch, promises, .. } => (epoch, promises),
+                                _ => (state.voters[node].epoch, 0),
+                            };
+                            let free = usize::from(state.voters[node].slots[register].promised) <= n;
+                            if !free || !state.answers(self, node, epoch) {
+                                continue;
+                            }
+                            let muster = state.muster(epoch);
+                            if muster.is_some_and(|muster| muster.enough(promises | 1 << node)) {
+                                let may = |wish: &&Wish| state.may(self, register, **wish, epoch);
+                                let may = WISHES.iter().filter(may);
+                                actions.extend(may.map(|&wish| Action::Promise(node, register, n, wish)));
+                            } else {
+                                actions.push(Action::Promise(node, register, n, Wish::Settle));
+                            }
+                        }
+                    }
+                    Attempt::Issued { epoch, value, .. } => {
+                        let takes = |node: &usize| {
+                            let slot = state.voters[*node].slots[register];
+                            *value != 0
+                                && state.answers(self, *node, *epoch)
+                                && usize::from(slot.promised) <= n + 1
+                                && usize::from(slot.accepted) != n + 1
+                        };
+                        actions
+                            .extend((0..NODES).filter(takes).map(|node| Action::Accept(node, register, n)));
+                    }
+                }
+            }
+        }
+        for (node, voter) in state.voters.iter().enumerate() {
+            actions.extend((voter.epoch + 1..=newest).map(|epoch| Action::Learn(node, epoch)));
+            if self.wipes && state.wiped.is_none() {
+                actions.push(Action::Wipe(node));
+            }
+            let votes = |n: usize| state.muster(voter.epoch).is_some_and(|m| m.votes(n));
+            if voter.memory != Memory::Whole && votes(node) {
+                let seats_only = voter.memory == Memory::Joining;
+                let tells = |teller: &usize| {
+                    *teller != node
+                        && voter.told >> teller & 1 == 0
+                        && state.voters[*teller].epoch == voter.epoch
+                        && state.voters[*teller].memory == Memory::Whole
+                        && votes(*teller)
+                        && (!seats_only || SEATS >> teller & 1 == 1)
+                };
+                actions.extend((0..NODES).filter(tells).map(|teller| Action::Tell(node, teller)));
+            }
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        state.act(self, action);
+        Some(state.canonical())
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("chosen values form one line", |_, state: &State| !state.broken),
+            Property::sometimes("the new set stands", |_, state: &State| state.line.len() == 3),
+        ]
+    }
+}
+
+fn states(change: Change, threads: usize) -> usize {
+    let checked = change.checker().threads(threads).spawn_dfs().join();
+    checked.assert_no_discovery("chosen values form one line");
+    checked.unique_state_count()
+}
+
+#[test]
+#[ignore = "minutes"]
+fn sizes() {
+    for (tries, wipes, back) in [
+        ([1, 2], false, false),
+        ([2, 2], false, false),
+        ([2, 3], false, false),
+        ([2, 1], true, false),
+        ([3, 1], true, false),
+        ([2, 3], true, false),
+    ] {
+        let began = std::time::Instant::now();
+        let count = states(Change { fault: Fault::None, tries, wipes, back }, 5);
+        println!("{tries:?} {wipes} {back}: {count} in {:?}", began.elapsed());
+    }
+}
+
+#[test]
+#[ignore = "minutes"]
+fn planted() {
+    for (fault, tries, wipes) in [
+        (Fault::EarlyEnd, [2, 2], false),
+        (Fault::NoEpochs, [3, 3], false),
+        (Fault::EmptiedCounts, [2, 0], true),
+        (Fault::NewcomerCounts, [3, 3], false),
+        (Fault::ReadCounts, [2, 0], true),
+    ] {
+        let began = std::time::Instant::now();
+        let checked = Change { fault, tries, wipes, back: false }.checker().threads(5).spawn_bfs().join();
+        println!(
+            "{fault:?} {} found {:?} in {:?}",
+            checked.unique_state_count(),
+            checked.discovery("chosen values form one line").map(|p| p.into_actions()),
+            began.elapsed()
+        );
+    }
+}
