--- a/sounding/src/plan.rs
+++ b/sounding/src/plan.rs
@@ -227,7 +227,8 @@
             54..56 => {
                 Step::Flap { from, to, period: self.length(0.05, 4.0), times: 1 + self.below(12) as u8 }
             }
-            56..60 => Step::Stall { from, to, seconds: self.length(0.1, 20.0) },
+            56..58 => Step::Stall { from, to, seconds: self.length(0.1, 20.0) },
+            58..60 => Step::Hold { node, seconds: self.length(0.1, 20.0) },
             60..64 => Step::Noise {
                 lossy: self.length(0.001, 0.3),
                 doubled: self.length(0.001, 0.5),
--- a/sounding/src/play.rs
+++ b/sounding/src/play.rs
@@ -226,6 +226,12 @@
                 fleet.stall(from, to, seconds);
                 self.trouble(seconds);
             }
+            Step::Hold { node, seconds } => {
+                for other in fleet.nodes().filter(|&other| other != node) {
+                    fleet.stall(node, other, seconds);
+                }
+                self.trouble(seconds);
+            }
             Step::Noise { lossy, doubled, late, late_by, seconds } => {
                 fleet.net = Net { lossy, doubled, late, late_by, ..fleet.net };
                 self.later(seconds, Later::Net(Net::default()));
