--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -427,7 +427,9 @@
                 if let Some(Act::Store(record, _)) = acts.first_mut() {
                     record.posts = self.duties.granted_posts();
                     record.muster = Some(self.muster.clone());
-                    for register in self.voter.read() {
+                    // While the set changes all registers are settled anyway.
+                    let read = if self.muster.changing() { Vec::new() } else { self.voter.read() };
+                    for register in read {
                         let settled = self.helm.propose(now, Change::Settle(register), OWN_TOKENS);
                         acts.extend(self.follow(now, settled));
                     }
--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -167,6 +167,9 @@
     fn give_back(&mut self, duty: Duty) -> Vec<Act> {
         let Some(Bidding { term, yes, .. }) = self.bidding.remove(&duty) else { return Vec::new() };
         let post = Post { duty, holder: self.me, term };
+        // Never bid for again: this word, should it come late, must not free a grant that was won.
+        let seen = self.seen.entry(duty).or_default();
+        *seen = term.max(*seen);
         let word = self.muster.say(Poll::Yield(post, NOBODY));
         yes.into_iter().map(|node| Act::Send(node, word.clone())).collect()
     }
@@ -291,7 +294,7 @@
         {
             given.until = now;
         }
-        // Who only gives back what it did not win may bid for that term again.
+        // Of a term that was only given back, as it was not won, there is no word to be told.
         if successor != NOBODY {
             let over = self.over.entry(post.duty).or_default();
             *over = post.term.max(*over);
--- a/harbour/tests/seats.rs
+++ b/harbour/tests/seats.rs
@@ -143,6 +143,34 @@
     );
 }
 
+/// The same of five seats, two of which are lost within a moment: with their disks, and back, or for good.
+#[test]
+fn the_loss_of_two_of_five_at_every_moment_of_a_change_leaves_a_majority_with_everything() {
+    bolero::check!().with_iterations(50).with_type::<(u64, u8, u16, u8)>().for_each(
+        |&(seed, who, moment, how)| {
+            let why = format!("{seed} {who} {moment} {how}");
+            let mut fleet = Fleet::of(seed, 5, 6);
+            fleet.run(2.0);
+            let seats = stands(&fleet, &why).seats;
+            let spare = (4..=6).find(|node| !seats.contains(node)).expect("a spare one");
+            fleet.reseat(Node::from(who % 6) + 1, 2, Reseat::Replace { old: seats[4], new: spare });
+            fleet.replace(1, 3, 8);
+            fleet.run(f64::from(moment % 1500) * 1e-3);
+            let lost = [Node::from(who / 6 % 6) + 1, Node::from(how / 4 % 6) + 1];
+            fleet.kill(lost[0], how & 1 != 0);
+            fleet.run(f64::from(how) * 1e-3);
+            fleet.kill(lost[1], how & 1 != 0);
+            if how & 2 == 0 {
+                fleet.run(0.3);
+                lost.iter().for_each(|&node| fleet.start(node, false));
+            }
+            fleet.run(18.0);
+            assert_eq!(stands(&fleet, &why).seats.len(), 5, "{why}");
+            sound(&mut fleet, &why);
+        },
+    );
+}
+
 /// Two changes at once through two gateways: one set follows the other, or one order is refused.
 #[test]
 fn of_two_proposers_one_comes_first() {
