--- a/bridge/tests/contact.rs
+++ b/bridge/tests/contact.rs
@@ -5,9 +5,12 @@
 
 use bridge::views::{Event, Turn, Views};
 use sea::{LEASE, Sea, configuration};
-use signal::{Beat, Held, Muster, Node, Piece, Register, Vector, pack};
+use signal::{Beat, Duty, Held, Hosts, Muster, Node, Piece, Post, Register, Vector, pack};
+use std::collections::BTreeSet;
 
 const SHIPS: usize = 24;
+/// Longest search for a smaller case of a failure.
+const SHRINK: std::time::Duration = std::time::Duration::from_secs(5);
 
 /// All in session, with a configuration in force.
 fn sea() -> Sea {
@@ -117,6 +120,110 @@
     assert!(views.vouched(1.0 + LEASE) && !views.vouched(1.2 + LEASE));
 }
 
+/// Cuts between any two machines, either way, by chance; control and data gateways that start anew; changes all the while.
+/// Whatever keys are served by, and whatever a data gateway begins by, was not replaced longer than a lease ago.
+#[test]
+fn nobody_goes_by_what_was_replaced_longer_than_a_lease_ago() {
+    bolero::check!()
+        .with_iterations(16)
+        .with_shrink_time(SHRINK)
+        .with_type::<(u64, Vec<(u8, u8, u8)>)>()
+        .for_each(|(seed, plan)| {
+            let mut sea = Sea::new(6);
+            sea.chance = oorandom::Rand64::new(u128::from(*seed));
+            sea.run(1.0);
+            let mut version = 1;
+            let mut begun = BTreeSet::new();
+            for &(what, who, length) in plan.iter().take(20) {
+                let (core, ship) = (1 + Node::from(who % 6), 100 + Node::from(who / 6 % 6));
+                let (out, into) = (what & 8 == 0, what & 16 == 0);
+                match what % 6 {
+                    0 => sea.cut_off(core, 1..=6, out, into),
+                    1 => sea.cut_off(ship, (1..=6).filter(|to| *to != core), out, into),
+                    2 => {
+                        sea.cores.remove(&core);
+                        sea.start_core(core);
+                    }
+                    3 => {
+                        begun.remove(&ship);
+                        sea.start_ship(ship);
+                    }
+                    4 => sea.cut.clear(),
+                    _ => {
+                        version += 1;
+                        sea.replace(core, version, 2);
+                    }
+                }
+                let until = sea.now + f64::from(length) / 40.0;
+                while sea.now < until {
+                    sea.run(0.05);
+                    for (node, ship) in &sea.ships {
+                        let Some(chart) = ship.views.chart() else { continue };
+                        let replaced =
+                            sea.acked.range(chart.version + 1..).map(|(_, at)| *at).fold(f64::MAX, f64::min);
+                        let begins = begun.insert(*node);
+                        let goes_by = begins || ship.views.vouched(sea.now);
+                        assert!(
+                            !goes_by || sea.now < replaced + LEASE + 0.05,
+                            "{node} goes by {}",
+                            chart.version
+                        );
+                    }
+                }
+            }
+            // And once nothing is cut all go by the newest.
+            sea.cut.clear();
+            sea.replace(1, version + 1, 2);
+            sea.run(8.0);
+            assert_eq!((sea.with_version(version + 1), sea.vouched()), (6, 6));
+        });
+}
+
+/// Words of control gateways late, twice and out of order, as old ones tell them: nothing goes back, and only what is held is
+/// vouched for.
+#[test]
+fn words_in_any_order_take_nothing_back() {
+    let charts: Vec<bytes::Bytes> =
+        (1..9).map(|version| pack::pack(configuration(version, 1).as_bytes(), b"").unwrap().into()).collect();
+    bolero::check!().with_iterations(300).with_shrink_time(SHRINK).with_type::<Vec<(u8, u8)>>().for_each(
+        |words| {
+            let mut views = Views::new(LEASE);
+            let mut now = 1.0;
+            for (what, n) in words.iter().map(|(what, n)| (what % 4, u64::from(n % 8) + 1)) {
+                now += 1.0;
+                let (before, term) = (views.vector().clone(), views.counter());
+                let vouched = views.vouched(now);
+                let event = match what {
+                    0 => Event::Told(Piece::Chart {
+                        stamp: n,
+                        base: 0,
+                        packed: charts[n as usize - 1].clone(),
+                    }),
+                    1 => Event::Told(Piece::Chosen(
+                        Register::Evacuations,
+                        Held { stamp: n, ..Held::default() },
+                    )),
+                    2 => Event::Told(Piece::Hosts(Hosts { term: n, version: 9 - n, lines: Vec::new() })),
+                    _ => {
+                        let vector = Vector { chart: n, evacuations: n, ..Vector::default() };
+                        let posts = vec![Post { duty: Duty::Tally, holder: n as Node, term: n }];
+                        let (serial, clock, muster) = (n, 0.0, Muster::default());
+                        let beat = Beat { serial, clock, confirmed: Some(0.0), vector, posts, muster };
+                        Event::Heard { beat, asked: Some(now) }
+                    }
+                };
+                views.append(now, event);
+                let after = views.vector();
+                assert!(after.chart >= before.chart && after.evacuations >= before.evacuations);
+                assert!(after.hosts >= before.hosts && views.counter().map(|c| c.1) >= term.map(|c| c.1));
+                let held = what == 3 && after.chart == n && after.evacuations >= n;
+                assert!(vouched || !views.vouched(now) || held);
+                assert!(views.chart().is_none_or(|chart| chart.version == after.chart));
+            }
+        },
+    );
+}
+
 /// Guards against a data gateway that forgets all control gateways but one: that one had started while it was cut off and
 /// knew of none, and the seeds were on the other side.
 #[test]
--- a/bridge/tests/sea/mod.rs
+++ b/bridge/tests/sea/mod.rs
@@ -10,7 +10,7 @@
 use harbour::journal::Event;
 use harbour::news::News;
 use harbour::{Act, Outcome, Record};
-use signal::{HostLine, Hosts, Keeper, Muster, Node, Pilot, Register, Word, pack};
+use signal::{HostLine, Hosts, Keeper, Muster, Node, Pilot, Register, Slot, Word, pack};
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const ZONES: usize = 6;
@@ -55,6 +55,9 @@
     pub done: Vec<Outcome>,
     /// Ways that are cut, each by itself: words are lost, and calls that would take them fail.
     pub cut: BTreeSet<(Node, Node)>,
+    /// When each version was first acknowledged.
+    pub acked: BTreeMap<u64, f64>,
+    disks: BTreeMap<Node, BTreeMap<Register, Slot>>,
 }
 
 impl Sea {
@@ -69,6 +72,8 @@
             bytes: BTreeMap::new(),
             done: Vec::new(),
             cut: BTreeSet::new(),
+            acked: BTreeMap::new(),
+            disks: BTreeMap::new(),
         };
         (1..=6).for_each(|node| sea.start_core(node));
         for n in 0..ships {
@@ -84,7 +89,7 @@
             keeper,
             muster: Muster::first(&[1, 2, 3]),
             needed: 5,
-            slots: Some(BTreeMap::new()),
+            slots: Some(self.disks.get(&node).cloned().unwrap_or_default()),
             posts: Vec::new(),
             seed: self.chance.rand_u64(),
         };
@@ -140,7 +145,8 @@
         for act in step(&mut core.control, now) {
             match act {
                 Act::Send(to, word) => self.send(node, to, word),
-                Act::Store(Record { .. }, then) => {
+                Act::Store(Record { slots, .. }, then) => {
+                    self.disks.entry(node).or_default().extend(slots);
                     then.into_iter().for_each(|(to, word)| self.send(node, to, word));
                 }
                 Act::Learned(Register::Chart) => {
@@ -150,7 +156,12 @@
                     self.tell(node);
                 }
                 Act::Learned(_) => self.tell(node),
-                Act::Done(_, outcome) => self.done.push(outcome),
+                Act::Done(version, outcome) => {
+                    self.done.push(outcome);
+                    if outcome == Outcome::Chosen {
+                        self.acked.entry(version).or_insert(now);
+                    }
+                }
             }
         }
     }
--- a/harbour/tests/contact.rs
+++ b/harbour/tests/contact.rs
@@ -9,6 +9,9 @@
 use roads::Roads;
 use signal::{Ballot, Beat, Held, Hosts, Muster, Node, Piece, Poll, Register, Vector, Word};
 
+/// Longest search for a smaller case of a failure.
+const SHRINK: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// Guards against reads that starve confirmation: each one began a new question and dropped the answers on their way, so
 /// that with a read every few milliseconds none was ever answered, and every lease ended.
 #[test]
@@ -142,36 +145,40 @@
 /// newest then; and once answers come again, confirmation is as fresh as they are.
 #[test]
 fn what_is_confirmed_was_the_newest_when_it_was_asked() {
-    bolero::check!().with_iterations(400).with_type::<(u64, Vec<(u8, u8)>)>().for_each(|(seed, plan)| {
-        let mut chance = oorandom::Rand64::new(u128::from(*seed));
-        let helm = Asked::helm(*seed);
-        let (chosen, way) = (Vec::new(), Vec::new());
-        let mut asked = Asked { now: 1.0, helm, voters: [0; 3], newest: 0, chosen, way };
-        for &(what, length) in plan.iter().take(40) {
-            match what % 8 {
-                0 => asked.newest += 1,
-                n @ 1..=3 => asked.hold(usize::from(n) - 1),
-                4 => asked.helm = Asked::helm(chance.rand_u64()),
-                _ => {
-                    let acts = asked.helm.ask_now(asked.now);
-                    asked.act(acts, || Some(0.3));
+    bolero::check!()
+        .with_iterations(400)
+        .with_shrink_time(SHRINK)
+        .with_type::<(u64, Vec<(u8, u8)>)>()
+        .for_each(|(seed, plan)| {
+            let mut chance = oorandom::Rand64::new(u128::from(*seed));
+            let helm = Asked::helm(*seed);
+            let (chosen, way) = (Vec::new(), Vec::new());
+            let mut asked = Asked { now: 1.0, helm, voters: [0; 3], newest: 0, chosen, way };
+            for &(what, length) in plan.iter().take(40) {
+                match what % 8 {
+                    0 => asked.newest += 1,
+                    n @ 1..=3 => asked.hold(usize::from(n) - 1),
+                    4 => asked.helm = Asked::helm(chance.rand_u64()),
+                    _ => {
+                        let acts = asked.helm.ask_now(asked.now);
+                        asked.act(acts, || Some(0.3));
+                    }
                 }
+                let lossy = chance.rand_float();
+                let late = || (chance.rand_float() > lossy).then(|| 2.5 * chance.rand_float().powi(3));
+                asked.run(f64::from(length) / 400.0, late);
             }
-            let lossy = chance.rand_float();
-            let late = || (chance.rand_float() > lossy).then(|| 2.5 * chance.rand_float().powi(3));
-            asked.run(f64::from(length) / 400.0, late);
-        }
-        (0..3).for_each(|voter| asked.hold(voter));
-        const ANSWERED: f64 = 0.6;
-        let mut late = || Some(ANSWERED * chance.rand_float());
-        asked.run(4.0, &mut late);
-        for _ in 0..100 {
-            asked.run(0.02, &mut late);
-            let age = asked.now - asked.helm.confirmed(Register::Chart).expect("confirmed");
-            assert!(age < 0.4 + ANSWERED + 0.03, "{age}");
-            assert_eq!(asked.helm.chosen(Register::Chart).map_or(0, |held| held.stamp), asked.newest);
-        }
-    });
+            (0..3).for_each(|voter| asked.hold(voter));
+            const ANSWERED: f64 = 0.6;
+            let mut late = || Some(ANSWERED * chance.rand_float());
+            asked.run(4.0, &mut late);
+            for _ in 0..100 {
+                asked.run(0.02, &mut late);
+                let age = asked.now - asked.helm.confirmed(Register::Chart).expect("confirmed");
+                assert!(age < 0.4 + ANSWERED + 0.03, "{age}");
+                assert_eq!(asked.helm.chosen(Register::Chart).map_or(0, |held| held.stamp), asked.newest);
+            }
+        });
 }
 
 /// The number of the question that is asked at that time.
--- a/harbour/tests/numbers.rs
+++ b/harbour/tests/numbers.rs
@@ -9,6 +9,9 @@
 use signal::{Mark, Node, Register, evacuated};
 use std::collections::BTreeMap;
 
+/// Longest search for a smaller case of a failure.
+const SHRINK: std::time::Duration = std::time::Duration::from_secs(5);
+
 const GATEWAYS: Node = 8;
 const NUMBER: u64 = 5;
 /// A caller that is not answered moves on after this, which is longer than any order lives.
@@ -106,8 +109,11 @@
 /// against a resent one refused. Whoever asks later, wherever, and after however many higher numbers, is told the same.
 #[test]
 fn one_number_names_one_text_whatever_happens() {
-    bolero::check!().with_iterations(40).with_type::<(u64, u8, Vec<(u8, u8, u8)>)>().for_each(
-        |(seed, texts, plan)| {
+    bolero::check!()
+        .with_iterations(40)
+        .with_shrink_time(SHRINK)
+        .with_type::<(u64, u8, Vec<(u8, u8, u8)>)>()
+        .for_each(|(seed, texts, plan)| {
             let mut race = Race::new(*seed, 2 + texts % 7);
             for &(what, who, length) in plan.iter().take(12) {
                 let (node, other) = (Node::from(who % 8) + 1, Node::from(who / 8 % 8) + 1);
@@ -147,8 +153,7 @@
             }
             roads.run(0.5);
             assert!((1..=GATEWAYS).all(|node| roads.stamp(node, Register::Chart) == NUMBER + 4));
-        },
-    );
+        });
 }
 
 /// What holds at the ends of the line of numbers: its last ones are known, whatever was never taken is acknowledged and
@@ -187,59 +192,63 @@
 /// left of any of them brings the evacuation back.
 #[test]
 fn what_is_left_of_a_begin_never_undoes_a_finish() {
-    bolero::check!().with_iterations(120).with_type::<(u64, Vec<(u8, u8, u8)>)>().for_each(|(seed, plan)| {
-        let mut roads = Roads::new(*seed, 3, 5);
-        roads.run(0.5);
-        (roads.lossy, roads.twice, roads.sync, roads.fine) = (0.15, 0.2, 0.01, 0.005);
-        let mut plan = plan.iter().take(12);
-        let mut token = 0;
-        let mut calls = 0;
-        for on in [true, false] {
-            loop {
-                (token, calls) = (token + 1, calls + 1);
-                if let Some(&(what, who, length)) = plan.next() {
-                    let node = Node::from(who % 5) + 1;
-                    match what % 5 {
-                        0 => roads.cut_off(node, what & 8 == 0, what & 16 == 0),
-                        1 => drop(roads.frozen.insert(node, roads.now + f64::from(length) / 100.0)),
-                        2 => roads.sync = f64::from(length) / 512.0,
-                        3 => roads.lossy = f64::from(length) / 600.0,
-                        _ => roads.cut.clear(),
+    bolero::check!()
+        .with_iterations(120)
+        .with_shrink_time(SHRINK)
+        .with_type::<(u64, Vec<(u8, u8, u8)>)>()
+        .for_each(|(seed, plan)| {
+            let mut roads = Roads::new(*seed, 3, 5);
+            roads.run(0.5);
+            (roads.lossy, roads.twice, roads.sync, roads.fine) = (0.15, 0.2, 0.01, 0.005);
+            let mut plan = plan.iter().take(12);
+            let mut token = 0;
+            let mut calls = 0;
+            for on in [true, false] {
+                loop {
+                    (token, calls) = (token + 1, calls + 1);
+                    if let Some(&(what, who, length)) = plan.next() {
+                        let node = Node::from(who % 5) + 1;
+                        match what % 5 {
+                            0 => roads.cut_off(node, what & 8 == 0, what & 16 == 0),
+                            1 => drop(roads.frozen.insert(node, roads.now + f64::from(length) / 100.0)),
+                            2 => roads.sync = f64::from(length) / 512.0,
+                            3 => roads.lossy = f64::from(length) / 600.0,
+                            _ => roads.cut.clear(),
+                        }
+                    } else {
+                        roads.cut.clear();
+                        (roads.lossy, roads.sync) = (0.0, 0.01);
+                    }
+                    let at = 1 + roads.chance.rand_range(0..5) as Node;
+                    let (since, frozen) = (roads.now, !roads.awake(at));
+                    // Its connection may break off at any time, which an order is told of unless its gateway stands still.
+                    let breaks = since + 1.2 * roads.chance.rand_float();
+                    if !frozen {
+                        roads.evacuate(at, token, on);
+                    }
+                    while roads.outcome(token).is_none()
+                        && roads.now < since + SILENCE
+                        && (roads.now < breaks || !roads.awake(at))
+                    {
+                        roads.turn();
+                    }
+                    if let Some(control) = roads.live.get_mut(&at) {
+                        control.helm.withdraw(token);
+                    }
+                    assert!(calls < 60, "never acknowledged");
+                    if roads.outcome(token) == Some(Outcome::Chosen) {
+                        break;
                     }
-                } else {
-                    roads.cut.clear();
-                    (roads.lossy, roads.sync) = (0.0, 0.01);
-                }
-                let at = 1 + roads.chance.rand_range(0..5) as Node;
-                let (since, frozen) = (roads.now, !roads.awake(at));
-                // Its connection may break off at any time, which an order is told of unless its gateway stands still.
-                let breaks = since + 1.2 * roads.chance.rand_float();
-                if !frozen {
-                    roads.evacuate(at, token, on);
-                }
-                while roads.outcome(token).is_none()
-                    && roads.now < since + SILENCE
-                    && (roads.now < breaks || !roads.awake(at))
-                {
-                    roads.turn();
-                }
-                if let Some(control) = roads.live.get_mut(&at) {
-                    control.helm.withdraw(token);
-                }
-                assert!(calls < 60, "never acknowledged");
-                if roads.outcome(token) == Some(Outcome::Chosen) {
-                    break;
                 }
             }
-        }
-        roads.cut.clear();
-        roads.frozen.clear();
-        roads.run(4.0);
-        for control in roads.live.values() {
-            let held = control.helm.chosen(Register::Evacuations).expect("a set of zones");
-            assert!(evacuated(&held.value).is_empty(), "the evacuation is back");
-        }
-    });
+            roads.cut.clear();
+            roads.frozen.clear();
+            roads.run(4.0);
+            for control in roads.live.values() {
+                let held = control.helm.chosen(Register::Evacuations).expect("a set of zones");
+                assert!(evacuated(&held.value).is_empty(), "the evacuation is back");
+            }
+        });
 }
 
 /// Guards against an order whose caller was gone and which was tried anew, as it had come to its last step once.
