--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -252,7 +252,8 @@
         };
         let Phase::Accepting(held, outcome, yes) = &mut work.phase else { return Vec::new() };
         yes.insert(from);
-        if !muster.enough(|node| yes.contains(&node)) {
+        // After its time one that had accepted may have forgotten it, as above.
+        if !muster.enough(|node| yes.contains(&node)) || now > work.wish.until {
             return Vec::new();
         }
         let (held, outcome) = (held.clone(), *outcome);
--- a/harbour/tests/numbers.rs
+++ b/harbour/tests/numbers.rs
@@ -3,10 +3,10 @@
 
 mod roads;
 
-use harbour::Outcome;
-use harbour::helm::{LIFE, MARKS};
+use harbour::helm::{Change, Helm, LIFE, MARKS};
+use harbour::{Act, Outcome};
 use roads::Roads;
-use signal::{Mark, Node, Register, evacuated};
+use signal::{Mark, Muster, Node, Poll, Register, Word, evacuated};
 use std::collections::BTreeMap;
 
 /// Longest search for a smaller case of a failure.
@@ -318,3 +318,29 @@
     roads.replace(3, 4, NUMBER, 1);
     assert_eq!(roads.until(4), Outcome::Stands(Mark { version: NUMBER, digest: [2; 16] }));
 }
+
+/// Guards against an order acknowledged by voters of which one had lost its disk, and was back, before the other heard of it:
+/// its gateway stood still meanwhile, and took both answers when it woke.
+#[test]
+fn what_is_accepted_after_its_time_is_not_acknowledged() {
+    for (woke, acknowledged) in [(0.5, true), (3.0, false)] {
+        let mut helm = Helm::new(9, 1);
+        helm.set_muster(0.0, &Muster::first(&[1, 2, 3]));
+        let (version, digest, text) = (NUMBER, [1; 16], "text".into());
+        helm.propose(1.0, Change::Chart { version, digest, text }, 1);
+        let sent = |acts: Vec<Act>| {
+            let poll = |act| if let Act::Send(_, Word::Poll(_, poll)) = act { Some(poll) } else { None };
+            acts.into_iter().find_map(poll)
+        };
+        let Some(Poll::Prepare(register, ballot)) = sent(helm.tick(1.36)) else {
+            panic!("no second attempt")
+        };
+        helm.hear(1.4, 1, &Poll::Promise(register, ballot, None));
+        let asked = sent(helm.hear(1.4, 2, &Poll::Promise(register, ballot, None)));
+        assert!(matches!(asked, Some(Poll::Accept(..))));
+        helm.hear(1.4, 1, &Poll::Accepted(register, ballot));
+        let acts = helm.hear(1.0 + woke, 2, &Poll::Accepted(register, ballot));
+        let done = acts.iter().any(|act| matches!(act, Act::Done(1, Outcome::Chosen)));
+        assert_eq!((done, helm.chosen(register).is_some()), (acknowledged, acknowledged));
+    }
+}
