--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -269,10 +269,9 @@
         let mut acts = Vec::new();
         for &(register, theirs) in ballots {
             let mine = self.chosen.get(&register).map_or(Ballot::default(), |held| held.ballot);
-            if theirs == mine {
+            if theirs <= mine {
                 self.asking.confirm(&self.muster, register, mine);
-            } else if theirs > mine
-                && self.asking.names(now, &self.muster, register, theirs)
+            } else if self.asking.names(now, &self.muster, register, theirs)
                 && self.asking.fetches(now, register, theirs)
             {
                 acts.push(Act::Send(from, self.muster.say(Poll::Fetch(register))));
--- a/harbour/src/helm/ask.rs
+++ b/harbour/src/helm/ask.rs
@@ -157,27 +157,24 @@
 
     /// Does a majority hold this ballot, by their newest answers?
     pub fn names(&self, now: f64, muster: &Muster, register: Register, ballot: Ballot) -> bool {
-        muster.enough(|node| self.since(node, register, ballot).is_some_and(|at| now < at + TOGETHER))
+        let named = |answer: &Answer| answer.ballots.get(&register) == Some(&ballot);
+        let fresh = |answer: &Answer| now < answer.at + TOGETHER && named(answer);
+        muster.enough(|node| self.answers.get(&node).is_some_and(fresh))
     }
 
-    /// When the question was asked to which that voter answered so.
-    fn since(&self, node: Node, register: Register, ballot: Ballot) -> Option<f64> {
-        let answer = self.answers.get(&node)?;
-        (answer.ballots.get(&register) == Some(&ballot)).then_some(answer.at)
-    }
-
-    /// `mine` is held here. It is confirmed from the time on since which a majority was asked and named it, each voter to
-    /// whichever question: had a newer one been chosen before that, one of them would have named a greater ballot.
+    /// `mine` is held here, and chosen. It is confirmed from the time on since which a majority was asked and named nothing
+    /// greater, each voter to whichever question: had a newer one been chosen before that, one of them would have.
     pub fn confirm(&mut self, muster: &Muster, register: Register, mine: Ballot) {
-        let mut times: Vec<f64> =
-            self.answers.keys().filter_map(|node| self.since(*node, register, mine)).collect();
-        times.sort_by(|a, b| b.total_cmp(a));
-        let enough = |at: &f64| {
-            muster.enough(|node| self.since(node, register, mine).is_some_and(|since| since >= *at))
+        let since = |answer: &Answer| {
+            let theirs = answer.ballots.get(&register)?;
+            (*theirs <= mine).then_some(answer.at)
         };
-        if let Some(at) = times.into_iter().find(enough) {
-            let known = self.confirmed.entry(register).or_insert(at);
-            *known = known.max(at);
+        let mut times: Vec<f64> = self.answers.values().filter_map(since).collect();
+        times.sort_by(|a, b| b.total_cmp(a));
+        let known = |node, at| self.answers.get(&node).and_then(since).is_some_and(|since| since >= at);
+        if let Some(at) = times.into_iter().find(|at| muster.enough(|node| known(node, *at))) {
+            let confirmed = self.confirmed.entry(register).or_insert(at);
+            *confirmed = confirmed.max(at);
         }
     }
 
--- a/harbour/tests/contact.rs
+++ b/harbour/tests/contact.rs
@@ -220,6 +220,19 @@
     assert_eq!(helm.confirmed(Register::Chart), Some(9.1), "since the question, not since the answers");
 }
 
+/// Guards against confirmation that starves under changes in quick succession, as the voters are apart at each question:
+/// whoever holds the newest that a majority names may say so.
+#[test]
+fn voters_that_are_apart_confirm_what_none_of_a_majority_is_beyond() {
+    for (named, confirmed) in [([1, 2, 2], true), ([1, 2, 3], true), ([3, 2, 3], false)] {
+        let mut helm = Asked::helm(1);
+        let serial = question(&mut helm, 1.0);
+        (1..=3).for_each(|voter| drop(helm.hear(1.1, voter, &answer(serial, named[voter as usize - 1]))));
+        helm.learn(Register::Chart, &held(2));
+        assert_eq!(helm.confirmed(Register::Chart), confirmed.then_some(1.0), "{named:?}");
+    }
+}
+
 /// Guards against what two voters held, one before it lost its disk and the other long after, taken for chosen.
 #[test]
 fn answers_far_apart_are_no_majority() {
--- a/harbour/tests/roads/mod.rs
+++ b/harbour/tests/roads/mod.rs
@@ -149,7 +149,12 @@
     pub fn step(&mut self, node: Node, step: impl FnOnce(&mut Control, f64) -> Vec<Act>) {
         let now = self.now;
         let Some(control) = self.live.get_mut(&node) else { return };
-        for act in step(control, now) {
+        let mut acts = step(control, now);
+        // What is learned is told at once, as the program does.
+        if acts.iter().any(|act| matches!(act, Act::Learned(_))) {
+            acts.extend(control.beat_all(now));
+        }
+        for act in acts {
             match act {
                 Act::Send(to, word) => self.send(node, to, word),
                 Act::Store(record, then) => {
