--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -253,7 +253,7 @@
         };
         let Phase::Accepting(held, outcome, yes) = &mut work.phase else { return Vec::new() };
         yes.insert(from);
-        // The same here: what was accepted first may be forgotten by now.
+        // After its time one that had accepted may have forgotten it, as above.
         if !muster.enough(|node| yes.contains(&node)) || now > work.wish.until {
             return Vec::new();
         }
@@ -270,10 +270,9 @@
         let mut acts = Vec::new();
         for &(register, theirs) in ballots {
             let mine = self.chosen.get(&register).map_or(Ballot::default(), |held| held.ballot);
-            if theirs == mine {
+            if theirs <= mine {
                 self.asking.confirm(&self.muster, register, mine);
-            } else if theirs > mine
-                && self.asking.names(now, &self.muster, register, theirs)
+            } else if self.asking.names(now, &self.muster, register, theirs)
                 && self.asking.fetches(now, register, theirs)
             {
                 acts.push(Act::Send(from, self.muster.say(Poll::Fetch(register))));
