--- a/bridge/tests/contact.rs
+++ b/bridge/tests/contact.rs
@@ -98,7 +98,8 @@
     let hear = |views: &mut Views, now: f64, chart, evacuations| {
         let vector = Vector { chart, evacuations, ..Vector::default() };
         let (serial, clock, posts, muster) = (1, 0.0, Vec::new(), Muster::default());
-        let beat = Beat { serial, clock, confirmed: Some(0.1), vector, posts, muster };
+        let (whole, missing) = (true, Vec::new());
+        let beat = Beat { serial, clock, confirmed: Some(0.1), vector, posts, muster, whole, missing };
         views.append(now, Event::Heard { beat, asked: Some(now) });
         views.vouched(now)
     };
