While the set changes a recall needs a majority of the seats only

Whatever is chosen in a joint epoch, a majority of the seats promised and accepted it: that is enough to read from.

--- a/harbour/src/voter.rs
+++ b/harbour/src/voter.rs
@@ -107,12 +107,10 @@
         self.read.iter().copied().collect()
     }
 
-    /// Whose slots it has to read: those of the seats before it, or of all that vote.
+    /// Whose slots it has to read: those of a majority of the seats. While the set changes also where it is one that comes:
+    /// whatever is chosen then, a majority of the seats promised and accepted too.
     fn tellers(&self) -> Muster {
-        match self.memory {
-            Memory::Joining(_) => Muster { coming: Vec::new(), ..self.muster.clone() },
-            _ => self.muster.clone(),
-        }
+        Muster { coming: Vec::new(), ..self.muster.clone() }
     }
 
     /// May it be counted in a majority?
@@ -196,8 +194,8 @@
         }
     }
 
-    /// A majority beside itself has told: whatever it had promised or accepted that counts, one of these has. A seat that is to
-    /// be reads from a majority of the seats before it, none of which votes in an earlier epoch any more.
+    /// A majority of the seats beside itself has told: whatever it had promised or accepted that counts, one of these has; and
+    /// none of them votes in an earlier epoch any more.
     fn recalled(&mut self, from: Node, answer: u64, slots: &[(Register, Slot)]) -> Vec<Act> {
         let (tellers, serial) = (self.tellers(), self.serial);
         let Some(recall) = self.memory.recall() else { return Vec::new() };
