--- a/bridge/tests/contact.rs
+++ b/bridge/tests/contact.rs
@@ -208,8 +208,10 @@
                     _ => {
                         let vector = Vector { chart: n, evacuations: n, ..Vector::default() };
                         let posts = vec![Post { duty: Duty::Tally, holder: n as Node, term: n }];
-                        let (serial, clock, muster) = (n, 0.0, Muster::default());
-                        let beat = Beat { serial, clock, confirmed: Some(0.0), vector, posts, muster };
+                        let (serial, clock, muster, whole, missing) =
+                            (n, 0.0, Muster::default(), true, Vec::new());
+                        let confirmed = Some(0.0);
+                        let beat = Beat { serial, clock, confirmed, vector, posts, muster, whole, missing };
                         Event::Heard { beat, asked: Some(now) }
                     }
                 };
