Logbook: a start gives back only what outlasts a loss of power, also on a full disk

Cause: no fault of the landed code was left here, but the test of a start on a full disk did not see the sync of what was read left out.

Ruled out: skipping a number at each start.

--- a/logbook/src/keeper.rs
+++ b/logbook/src/keeper.rs
@@ -64,9 +64,7 @@
         let (number, state, next) = (found.number, found.state, found.next);
         let mut keeper =
             Keeper { disk, folder, state, number, log: None, next, used: 0, room: 0, checkpoint };
-        // Half a change may lie in the last log under the next number: what comes now takes another one.
-        keeper.number += 1;
-        if let Err(e) = keeper.checkpoint(keeper.number, &keeper.state.clone()) {
+        if let Err(e) = keeper.checkpoint(number, &keeper.state.clone()) {
             log::warn!("disk refused: {e}; goes on from what is there");
             // A disk that is full may still sync.
             let synced = found.read.iter().try_for_each(|path| keeper.disk.sync(path));
@@ -87,6 +85,7 @@
         change.clone().enter_into(&mut state);
         if let Err(e) = self.append(number, &change) {
             log::warn!("disk refused: {e}");
+            // The log is done with: nothing is appended to it before there is a new one.
             while let Err(e) = self.checkpoint(number, &state) {
                 log::warn!("disk refused: {e}");
                 std::thread::sleep(again);
@@ -106,12 +105,10 @@
     }
 
     fn append(&mut self, number: u64, change: &Change) -> io::Result<()> {
-        // Put back only if it took the entry: a log that failed is not used again.
-        let Some(mut log) = self.log.take() else { return Err(io::Error::other("no log could be begun")) };
+        let Some(log) = &mut self.log else { return Err(io::Error::other("no log could be begun")) };
         let bytes = format::entry(number, change).map_err(io::Error::other)?;
         log.append(&bytes)?;
         self.used += bytes.len();
-        self.log = Some(log);
         Ok(())
     }
 
--- a/logbook/src/tests/crashes.rs
+++ b/logbook/src/tests/crashes.rs
@@ -1,7 +1,6 @@
 //! What a crash leaves, at every point of a run.
 
 use super::{after, change};
-use crate::disk::Disk;
 use crate::keeper::{Keeper, find};
 use crate::made_up::{FOLDER, MadeUp, Platter, each_loss};
 use crate::{LogbookError, State};
@@ -196,21 +195,28 @@
     }
 }
 
-/// A start on a disk that takes nothing more, but still syncs, gives back what is there and goes on once there is room.
+/// A start on a disk that takes nothing more, but still syncs, gives back what is there, also where the process ended before
+/// it was synced: a loss of power right after the start leaves that. It goes on once there is room.
 #[test]
 fn a_full_disk_is_no_reason_not_to_start() {
     let disk = MadeUp::new(Platter::empty());
+    let ends = Arc::new(Mutex::new(Vec::new()));
+    let left = ends.clone();
+    disk.watch(move |platter, _| left.lock().unwrap().push(platter.clone()));
     let story = Mutex::new(Story::begin());
     let mut keeper = opened(&disk);
-    (1..5).for_each(|n| keep(&mut keeper, &story, n));
-    drop(keeper);
-    // The first act is the cut of the file written aside, then come those that take half a snapshot back.
-    let from = disk.acts();
-    disk.refuse(from..from + 1, 1);
-    let mut keeper = opened(&disk);
-    assert_eq!(keeper.state(), story.lock().unwrap().entered.last().unwrap());
-    assert_eq!(disk.list(Path::new(FOLDER)).unwrap().len(), 2, "snapshot and log as they were");
-    (5..9).for_each(|n| keep(&mut keeper, &story, n));
-    let story = story.into_inner().unwrap();
-    assert_eq!(story.place(&disk.platter()), Ok(8));
+    (1..12).for_each(|n| keep(&mut keeper, &story, n));
+    let mut chance = Rand64::new(5);
+    for platter in ends.lock().unwrap().drain(..) {
+        let disk = MadeUp::new(platter);
+        // The cut of the file that is written aside.
+        disk.refuse(0..1, 1);
+        let mut keeper = opened(&disk);
+        let story = Mutex::new(Story { entered: vec![keeper.state().clone()], kept: 0 });
+        each_loss(&disk.platter(), LOSSES / 5, &mut chance, |lost| {
+            assert_eq!(story.lock().unwrap().place(&lost), Ok(0));
+        });
+        (12..15).for_each(|n| keep(&mut keeper, &story, n));
+        assert_eq!(story.into_inner().unwrap().place(&disk.platter()), Ok(3));
+    }
 }
