Logbook: what older folders hold is read by types of its own

Cause: the reader of folders from before the versions went by the types of today, which change with the set of voters; such a folder would then be refused as damaged, or read as something else. Change: before.rs keeps the layout as it was and turns it into today's in one place. No other reading or writing changed.

--- a/logbook/src/format.rs
+++ b/logbook/src/format.rs
@@ -4,7 +4,7 @@
 //! okaywal's own reader is not used: it writes to what it reads, refuses a file whose tail is torn, and follows a torn length
 //! to fill gigabytes with zeros.
 
-use crate::{Entered, LogbookError, State};
+use crate::{Entered, LogbookError, State, before};
 use error_stack::{Report, ResultExt, bail, ensure};
 use serde::{Deserialize, Serialize};
 use signal::{Ballot, Register};
@@ -77,8 +77,7 @@
 /// The state and the number of the last change in it; one of before the versions has the number 0.
 pub fn read_snapshot(bytes: &[u8]) -> Result<(u64, State), Report<LogbookError>> {
     if !bytes.starts_with(SNAPSHOT) {
-        let state = postcard::from_bytes(bytes).change_context(LogbookError::Damaged)?;
-        return Ok((0, state));
+        return Ok((0, before::read_snapshot(bytes)?));
     }
     let (number, rest) = open(SNAPSHOT, bytes)?;
     let Some((sum, body)) = rest.split_first_chunk::<4>() else {
--- a/logbook/src/keeper.rs
+++ b/logbook/src/keeper.rs
@@ -10,7 +10,7 @@
 
 use crate::disk::{Disk, Log};
 use crate::format::{self, Change};
-use crate::{Entered, LogbookError, State};
+use crate::{Entered, LogbookError, State, before};
 use error_stack::{Report, ResultExt, bail, ensure};
 use std::collections::BTreeMap;
 use std::io;
@@ -51,7 +51,7 @@
 pub struct Found {
     pub number: u64,
     pub state: State,
-    read: Vec<PathBuf>,
+    pub read: Vec<PathBuf>,
     next: u64,
 }
 
@@ -164,11 +164,11 @@
     name.strip_prefix(LOG)?.parse().ok()
 }
 
-fn read<D: Disk>(disk: &D, file: &Path) -> Result<Option<Vec<u8>>, Report<LogbookError>> {
+pub fn read<D: Disk>(disk: &D, file: &Path) -> Result<Option<Vec<u8>>, Report<LogbookError>> {
     disk.read(file).change_context(LogbookError::Disk).attach_with(|| file.display().to_string())
 }
 
-fn list<D: Disk>(disk: &D, folder: &Path) -> Result<Vec<String>, Report<LogbookError>> {
+pub fn list<D: Disk>(disk: &D, folder: &Path) -> Result<Vec<String>, Report<LogbookError>> {
     disk.list(folder).change_context(LogbookError::Disk).attach_with(|| folder.display().to_string())
 }
 
@@ -182,7 +182,7 @@
     }
     let names = list(disk, folder)?;
     if found.number == 0 && names.iter().any(|name| name == BEFORE) {
-        replay_before(disk, &folder.join(BEFORE), &mut found)?;
+        before::replay(disk, &folder.join(BEFORE), &mut found)?;
     }
     let mut changes = BTreeMap::new();
     for log in names.iter().filter_map(|name| log_of(name)) {
@@ -210,7 +210,7 @@
 }
 
 /// okaywal's files that are in use, by their first entry's id.
-fn segments(names: Vec<String>) -> Vec<(String, u64)> {
+pub fn segments(names: Vec<String>) -> Vec<(String, u64)> {
     let id = |name: &str| name.strip_prefix("wal-")?.parse().ok();
     let mut files: Vec<(String, u64)> =
         names.into_iter().filter_map(|name| id(&name).map(|id| (name, id))).collect();
@@ -240,28 +240,3 @@
     changes.retain(|(number, _)| *number > above);
     Ok(changes)
 }
-
-/// The log of a folder from before there were numbers and versions: entries without a head, in several files.
-fn replay_before<D: Disk>(disk: &D, log: &Path, found: &mut Found) -> Result<(), Report<LogbookError>> {
-    let mut torn = false;
-    for (name, first) in segments(list(disk, log)?) {
-        let path = log.join(name);
-        let bytes = read(disk, &path)?.unwrap_or_default();
-        let segment = format::segment(&bytes, first);
-        ensure!(
-            !torn || segment.entries.is_empty(),
-            Report::new(LogbookError::Damaged)
-                .attach(format!("{}: an entry before it can't be read", path.display()))
-        );
-        torn |= segment.torn;
-        for entry in segment.entries {
-            let entered: Entered = postcard::from_bytes(entry)
-                .change_context(LogbookError::Damaged)
-                .attach_with(|| path.display().to_string())?;
-            found.state.enter(entered);
-        }
-        found.read.push(path);
-    }
-    found.read.push(log.to_path_buf());
-    Ok(())
-}
--- a/logbook/src/lib.rs
+++ b/logbook/src/lib.rs
@@ -3,6 +3,7 @@
 //! synced, nor give back a state that mixes two moments: what cannot be read whole counts as lost.
 #![forbid(unsafe_code)]
 
+mod before;
 mod disk;
 mod format;
 mod keeper;
--- a/logbook/src/tests/folders.rs
+++ b/logbook/src/tests/folders.rs
@@ -2,7 +2,7 @@
 
 use super::{change, enter, folder, open, slot, value};
 use crate::disk::{Log, log_in};
-use crate::{Entered, Logbook, LogbookError, State};
+use crate::{Entered, Logbook, LogbookError, State, before};
 use signal::Register;
 use std::collections::BTreeMap;
 use std::fs;
@@ -172,12 +172,13 @@
 fn a_folder_from_before_the_versions_opens() {
     let folder = folder("before");
     fs::create_dir_all(&folder).unwrap();
-    let mut state = State::default();
-    state.enter(Entered { voters: Some(vec![1, 2, 3]), ..Entered::default() });
+    let state = before::State { voters: vec![1, 2, 3], ..before::State::default() };
     fs::write(folder.join("snapshot"), postcard::to_stdvec(&state).unwrap()).unwrap();
     let mut log = log_in(&folder.join("log"), 4096).unwrap();
     for round in 1..4 {
-        log.append(&postcard::to_stdvec(&value(round, 300)).unwrap()).unwrap();
+        let slots = vec![(Register::Chart, slot(round, 300))];
+        let entered = before::Entered { slots, ..before::Entered::default() };
+        log.append(&postcard::to_stdvec(&entered).unwrap()).unwrap();
     }
     drop(log);
     let mut torn = files(&folder);
