--- a/logbook/src/before.rs
+++ b/logbook/src/before.rs
@@ -1,37 +1,42 @@
-//! What folders held before they named a version: a list of voters where the muster is now, and slots without marks. Reads
-//! it as what it is today. Must never be written again.
+//! What folders hold from before there were numbers and versions: a snapshot without a head, and entries without one in
+//! several files of okaywal's. Read once, at the first start of this version; must stay as it was then, whatever becomes of
+//! the types of today.
 
-use crate::{Entered, State};
+use crate::disk::Disk;
+use crate::keeper::{Found, list, read, segments};
+use crate::{LogbookError, format};
 use bytes::Bytes;
-use serde::Deserialize;
+use error_stack::{Report, ResultExt, ensure};
+use serde::{Deserialize, Serialize};
 use signal::{Ballot, Duty, Muster, Node, Post, Register};
 use std::collections::BTreeMap;
+use std::path::Path;
 
-#[derive(Deserialize)]
-struct Held {
-    ballot: Ballot,
-    stamp: u64,
-    value: Bytes,
+#[derive(Serialize, Deserialize)]
+pub struct Held {
+    pub ballot: Ballot,
+    pub stamp: u64,
+    pub value: Bytes,
 }
 
-#[derive(Deserialize)]
-struct Slot {
-    promised: Ballot,
-    held: Option<Held>,
+#[derive(Serialize, Deserialize)]
+pub struct Slot {
+    pub promised: Ballot,
+    pub held: Option<Held>,
 }
 
-#[derive(Deserialize)]
-struct OldState {
-    voters: Vec<Node>,
-    slots: BTreeMap<Register, Slot>,
-    posts: BTreeMap<Duty, Post>,
+#[derive(Default, Serialize, Deserialize)]
+pub struct State {
+    pub voters: Vec<Node>,
+    pub slots: BTreeMap<Register, Slot>,
+    pub posts: BTreeMap<Duty, Post>,
 }
 
-#[derive(Deserialize)]
-struct OldEntered {
-    voters: Option<Vec<Node>>,
-    slots: Vec<(Register, Slot)>,
-    posts: Vec<Post>,
+#[derive(Default, Serialize, Deserialize)]
+pub struct Entered {
+    pub voters: Option<Vec<Node>>,
+    pub slots: Vec<(Register, Slot)>,
+    pub posts: Vec<Post>,
 }
 
 /// The set was agreed on once, by the seeds, and stood for good: it is the first epoch's.
@@ -39,23 +44,52 @@
     Some(Muster::first(voters)).filter(|muster| !muster.seats.is_empty())
 }
 
-/// In the place of the register of today's musters the set was voted on then, on no disk.
+/// In the place of the register of today's musters the first set was voted on, which was on no disk.
 fn slot((register, slot): (Register, Slot)) -> Option<(Register, signal::Slot)> {
-    let held = slot.held.map(|Held { ballot, stamp, value }| {
-        let marks = Vec::new();
-        signal::Held { ballot, stamp, value, marks }
-    });
-    (register != Register::Muster).then_some((register, signal::Slot { promised: slot.promised, held }))
+    let held = |Held { ballot, stamp, value }| signal::Held { ballot, stamp, value, marks: Vec::new() };
+    let slot = signal::Slot { promised: slot.promised, held: slot.held.map(held) };
+    (register != Register::Muster).then_some((register, slot))
 }
 
-pub fn state(bytes: &[u8]) -> Result<State, postcard::Error> {
-    let old: OldState = postcard::from_bytes(bytes)?;
-    let slots = old.slots.into_iter().filter_map(slot).collect();
-    Ok(State { muster: muster(&old.voters).unwrap_or_default(), slots, posts: old.posts })
+impl From<State> for crate::State {
+    fn from(State { voters, slots, posts }: State) -> Self {
+        let slots = slots.into_iter().filter_map(slot).collect();
+        crate::State { muster: muster(&voters).unwrap_or_default(), slots, posts }
+    }
 }
 
-pub fn entered(bytes: &[u8]) -> Result<Entered, postcard::Error> {
-    let old: OldEntered = postcard::from_bytes(bytes)?;
-    let muster = old.voters.and_then(|voters| muster(&voters));
-    Ok(Entered { muster, slots: old.slots.into_iter().filter_map(slot).collect(), posts: old.posts })
+impl From<Entered> for crate::Entered {
+    fn from(Entered { voters, slots, posts }: Entered) -> Self {
+        let muster = voters.and_then(|voters| muster(&voters));
+        crate::Entered { muster, slots: slots.into_iter().filter_map(slot).collect(), posts }
+    }
+}
+
+pub fn read_snapshot(bytes: &[u8]) -> Result<crate::State, Report<LogbookError>> {
+    postcard::from_bytes::<State>(bytes).map(Into::into).change_context(LogbookError::Damaged)
+}
+
+/// Replays the log over the snapshot. Half an entry at the end was never said to be kept.
+pub fn replay<D: Disk>(disk: &D, log: &Path, found: &mut Found) -> Result<(), Report<LogbookError>> {
+    let mut torn = false;
+    for (name, first) in segments(list(disk, log)?) {
+        let path = log.join(name);
+        let bytes = read(disk, &path)?.unwrap_or_default();
+        let segment = format::segment(&bytes, first);
+        ensure!(
+            !torn || segment.entries.is_empty(),
+            Report::new(LogbookError::Damaged)
+                .attach(format!("{}: an entry before it can't be read", path.display()))
+        );
+        torn |= segment.torn;
+        for entry in segment.entries {
+            let entered: Entered = postcard::from_bytes(entry)
+                .change_context(LogbookError::Damaged)
+                .attach_with(|| path.display().to_string())?;
+            found.state.enter(entered.into());
+        }
+        found.read.push(path);
+    }
+    found.read.push(log.to_path_buf());
+    Ok(())
 }
--- a/logbook/src/format.rs
+++ b/logbook/src/format.rs
@@ -77,7 +77,7 @@
 /// The state and the number of the last change in it; one of before the versions has the number 0.
 pub fn read_snapshot(bytes: &[u8]) -> Result<(u64, State), Report<LogbookError>> {
     if !bytes.starts_with(SNAPSHOT) {
-        return Ok((0, before::state(bytes).change_context(LogbookError::Damaged)?));
+        return Ok((0, before::read_snapshot(bytes)?));
     }
     let (number, rest) = open(SNAPSHOT, bytes)?;
     let Some((sum, body)) = rest.split_first_chunk::<4>() else {
--- a/logbook/src/keeper.rs
+++ b/logbook/src/keeper.rs
@@ -51,7 +51,7 @@
 pub struct Found {
     pub number: u64,
     pub state: State,
-    read: Vec<PathBuf>,
+    pub read: Vec<PathBuf>,
     next: u64,
 }
 
@@ -64,9 +64,7 @@
         let (number, state, next) = (found.number, found.state, found.next);
         let mut keeper =
             Keeper { disk, folder, state, number, log: None, next, used: 0, room: 0, checkpoint };
-        // Half a change may lie in the last log under the next number: what comes now takes another one.
-        keeper.number += 1;
-        if let Err(e) = keeper.checkpoint(keeper.number, &keeper.state.clone()) {
+        if let Err(e) = keeper.checkpoint(number, &keeper.state.clone()) {
             log::warn!("disk refused: {e}; goes on from what is there");
             // A disk that is full may still sync.
             let synced = found.read.iter().try_for_each(|path| keeper.disk.sync(path));
@@ -87,6 +85,7 @@
         change.clone().enter_into(&mut state);
         if let Err(e) = self.append(number, &change) {
             log::warn!("disk refused: {e}");
+            // The log is done with: nothing is appended to it before there is a new one.
             while let Err(e) = self.checkpoint(number, &state) {
                 log::warn!("disk refused: {e}");
                 std::thread::sleep(again);
@@ -106,12 +105,10 @@
     }
 
     fn append(&mut self, number: u64, change: &Change) -> io::Result<()> {
-        // Put back only if it took the entry: a log that failed is not used again.
-        let Some(mut log) = self.log.take() else { return Err(io::Error::other("no log could be begun")) };
+        let Some(log) = &mut self.log else { return Err(io::Error::other("no log could be begun")) };
         let bytes = format::entry(number, change).map_err(io::Error::other)?;
         log.append(&bytes)?;
         self.used += bytes.len();
-        self.log = Some(log);
         Ok(())
     }
 
@@ -167,11 +164,11 @@
     name.strip_prefix(LOG)?.parse().ok()
 }
 
-fn read<D: Disk>(disk: &D, file: &Path) -> Result<Option<Vec<u8>>, Report<LogbookError>> {
+pub fn read<D: Disk>(disk: &D, file: &Path) -> Result<Option<Vec<u8>>, Report<LogbookError>> {
     disk.read(file).change_context(LogbookError::Disk).attach_with(|| file.display().to_string())
 }
 
-fn list<D: Disk>(disk: &D, folder: &Path) -> Result<Vec<String>, Report<LogbookError>> {
+pub fn list<D: Disk>(disk: &D, folder: &Path) -> Result<Vec<String>, Report<LogbookError>> {
     disk.list(folder).change_context(LogbookError::Disk).attach_with(|| folder.display().to_string())
 }
 
@@ -185,7 +182,7 @@
     }
     let names = list(disk, folder)?;
     if found.number == 0 && names.iter().any(|name| name == BEFORE) {
-        replay_before(disk, &folder.join(BEFORE), &mut found)?;
+        before::replay(disk, &folder.join(BEFORE), &mut found)?;
     }
     let mut changes = BTreeMap::new();
     for log in names.iter().filter_map(|name| log_of(name)) {
@@ -213,7 +210,7 @@
 }
 
 /// okaywal's files that are in use, by their first entry's id.
-fn segments(names: Vec<String>) -> Vec<(String, u64)> {
+pub fn segments(names: Vec<String>) -> Vec<(String, u64)> {
     let id = |name: &str| name.strip_prefix("wal-")?.parse().ok();
     let mut files: Vec<(String, u64)> =
         names.into_iter().filter_map(|name| id(&name).map(|id| (name, id))).collect();
@@ -243,28 +240,3 @@
     changes.retain(|(number, _)| *number > above);
     Ok(changes)
 }
-
-/// The log of a folder from before there were numbers and versions: entries without a head, in several files.
-fn replay_before<D: Disk>(disk: &D, log: &Path, found: &mut Found) -> Result<(), Report<LogbookError>> {
-    let mut torn = false;
-    for (name, first) in segments(list(disk, log)?) {
-        let path = log.join(name);
-        let bytes = read(disk, &path)?.unwrap_or_default();
-        let segment = format::segment(&bytes, first);
-        ensure!(
-            !torn || segment.entries.is_empty(),
-            Report::new(LogbookError::Damaged)
-                .attach(format!("{}: an entry before it can't be read", path.display()))
-        );
-        torn |= segment.torn;
-        for entry in segment.entries {
-            let entered = before::entered(entry)
-                .change_context(LogbookError::Damaged)
-                .attach_with(|| path.display().to_string())?;
-            found.state.enter(entered);
-        }
-        found.read.push(path);
-    }
-    found.read.push(log.to_path_buf());
-    Ok(())
-}
--- a/logbook/src/tests/folders.rs
+++ b/logbook/src/tests/folders.rs
@@ -2,8 +2,8 @@
 
 use super::{change, enter, folder, open, slot, value};
 use crate::disk::{Log, log_in};
-use crate::{Entered, Logbook, LogbookError, State};
-use signal::{Ballot, Muster, Post, Register};
+use crate::{Entered, Logbook, LogbookError, State, before};
+use signal::{Muster, Register};
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -172,18 +172,17 @@
 fn a_folder_from_before_the_versions_opens() {
     let folder = folder("before");
     fs::create_dir_all(&folder).unwrap();
-    // Voters, slots and posts; a slot's value was its ballot, its stamp and its bytes.
-    let state = (vec![1_u32, 2, 3], BTreeMap::<Register, ()>::new(), BTreeMap::<signal::Duty, Post>::new());
+    let state = before::State { voters: vec![1, 2, 3], ..before::State::default() };
     fs::write(folder.join("snapshot"), postcard::to_stdvec(&state).unwrap()).unwrap();
-    let old = |round| {
-        let signal::Slot { promised, held } = slot(round, 300);
-        let held = held.map(|held| (held.ballot, held.stamp, held.value));
-        let none = (Register::Muster, (Ballot::default(), None));
-        (None::<Vec<u32>>, vec![(Register::Chart, (promised, held)), none], Vec::<Post>::new())
-    };
     let mut log = log_in(&folder.join("log"), 4096).unwrap();
     for round in 1..4 {
-        log.append(&postcard::to_stdvec(&old(round)).unwrap()).unwrap();
+        let signal::Slot { promised, held } = slot(round, 300);
+        let held =
+            held.map(|held| before::Held { ballot: held.ballot, stamp: held.stamp, value: held.value });
+        let founders = before::Slot { promised, held: None };
+        let slots = vec![(Register::Chart, before::Slot { promised, held }), (Register::Muster, founders)];
+        let entered = before::Entered { slots, ..before::Entered::default() };
+        log.append(&postcard::to_stdvec(&entered).unwrap()).unwrap();
     }
     drop(log);
     let mut torn = files(&folder);
