--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -427,8 +427,8 @@
         }
         match poll {
             // Who has forgotten its grants grants nothing.
-            Poll::Bid(..) if !self.voter.whole() || !self.crew.founded() => Vec::new(),
-            Poll::Bid(..) | Poll::Grant(..) | Poll::Deny(_) | Poll::Yield(..) => {
+            Poll::Bid(..) | Poll::Renew(..) if !self.voter.whole() || !self.crew.founded() => Vec::new(),
+            Poll::Bid(..) | Poll::Renew(..) | Poll::Grant(..) | Poll::Deny(_) | Poll::Yield(..) => {
                 self.duties.hear(now, from, &poll)
             }
             Poll::Recall(serial) if self.voter.whole() && self.muster.votes(self.me) => {
--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -154,13 +154,14 @@
             + 1
     }
 
-    fn bid(&mut self, now: f64, duty: Duty, term: u64) -> Vec<Act> {
+    /// `again`: for a term that this gateway holds, or has just bid for; another life's bid is never taken for such a one.
+    fn bid(&mut self, now: f64, duty: Duty, term: u64, again: bool) -> Vec<Act> {
         self.serial = self.serial.wrapping_add(1);
         let serial = self.serial;
         let yes = BTreeSet::new();
         self.bidding.insert(duty, Bidding { term, serial, at: now, yes, again: false });
         let post = Post { duty, holder: self.me, term };
-        let word = self.muster.say(Poll::Bid(post, serial));
+        let word = self.muster.say(if again { Poll::Renew(post, serial) } else { Poll::Bid(post, serial) });
         self.muster.voters().into_iter().map(|node| Act::Send(node, word.clone())).collect()
     }
 
@@ -182,7 +183,7 @@
         for duty in DUTIES {
             if let Some(term) = self.holds(now, duty) {
                 if self.bidding.get(&duty).is_none_or(|b| now >= b.at + RENEW_EVERY) {
-                    acts.extend(self.bid(now, duty, term.term));
+                    acts.extend(self.bid(now, duty, term.term, true));
                 }
                 continue;
             }
@@ -201,14 +202,19 @@
                 continue;
             }
             let term = self.next_term(duty);
-            acts.extend(self.bid(now, duty, term));
+            acts.extend(self.bid(now, duty, term, false));
         }
         acts
     }
 
     pub fn hear(&mut self, now: f64, from: Node, poll: &Poll) -> Vec<Act> {
         match poll {
-            Poll::Bid(post, serial) if self.muster.votes(self.me) => self.asked(now, from, *post, *serial),
+            Poll::Bid(post, serial) if self.muster.votes(self.me) => {
+                self.asked(now, from, *post, *serial, false)
+            }
+            Poll::Renew(post, serial) if self.muster.votes(self.me) => {
+                self.asked(now, from, *post, *serial, true)
+            }
             Poll::Grant(post, serial) => self.granted(now, from, *post, *serial),
             // What one voter granted is no word of a holder: it may have lost. Only its term counts, to bid above it.
             Poll::Deny(post) => {
@@ -218,7 +224,7 @@
                 match self.bidding.get_mut(&post.duty) {
                     Some(Bidding { term, again: true, .. }) if over => {
                         let term = *term;
-                        self.bid(now, post.duty, term)
+                        self.bid(now, post.duty, term, true)
                     }
                     _ => Vec::new(),
                 }
@@ -228,7 +234,7 @@
         }
     }
 
-    fn asked(&mut self, now: f64, from: Node, post: Post, serial: u64) -> Vec<Act> {
+    fn asked(&mut self, now: f64, from: Node, post: Post, serial: u64, again: bool) -> Vec<Act> {
         let Post { duty, holder, term } = post;
         if holder != from {
             return Vec::new();
@@ -236,7 +242,7 @@
         let before = self.given.get(&duty).copied();
         // Another's grant is waited out; a new term is above all terms before it. Who bids for a new term of its own has
         // given up the one before, or has lost it with its life.
-        let renewed = before.is_some_and(|g| g.holder == from && g.term == term);
+        let renewed = again && before.is_some_and(|g| g.holder == from && g.term == term);
         let free = before.is_none_or(|g| term > g.term && (g.holder == from || now >= g.until));
         if renewed || free {
             self.given.insert(duty, Given { holder, term, until: now + SPAN });
@@ -311,7 +317,7 @@
             self.try_at.insert(post.duty, now + BID_LASTS + BID_SPREAD * self.chance.rand_float());
             return Vec::new();
         }
-        let acts = self.bid(now, post.duty, post.term + 1);
+        let acts = self.bid(now, post.duty, post.term + 1, false);
         self.bidding.entry(post.duty).and_modify(|bidding| bidding.again = true);
         acts
     }
--- a/harbour/tests/seats.rs
+++ b/harbour/tests/seats.rs
@@ -4,9 +4,10 @@
 
 use harbour::control::Control;
 use harbour::crew::Ended;
+use harbour::duties::Duties;
 use harbour::helm::{Change, Helm};
 use harbour::{Act, Outcome, Refusal, Reseat};
-use signal::{Ballot, Duty, Held, Muster, Node, Poll, REGISTERS, Register, Word};
+use signal::{Ballot, Duty, Held, Muster, Node, Poll, Post, REGISTERS, Register, Word};
 use sounding::Fleet;
 use std::collections::BTreeSet;
 
@@ -369,6 +370,22 @@
     });
 }
 
+/// Guards against one term in two lives: a holder without a vote that started anew bid for the term that it had held, and was
+/// granted that as a renewal. Word that the term was left was still about.
+#[test]
+fn another_lifes_bid_is_no_renewal() {
+    let mut voter = Duties::new(0.0, 1, 7, &[]);
+    voter.set_muster(&Muster::first(&[1, 2, 3]));
+    let post = Post { duty: Duty::Tally, holder: 4, term: 1 };
+    let granted = |acts: Vec<Act>| {
+        matches!(&acts[..], [Act::Store(..)] | [Act::Send(_, Word::Poll(_, Poll::Grant(..)))])
+    };
+    assert!(granted(voter.hear(0.1, 4, &Poll::Bid(post, 5))));
+    assert!(granted(voter.hear(0.2, 4, &Poll::Renew(post, 6))));
+    assert!(!granted(voter.hear(0.3, 4, &Poll::Bid(post, 99))));
+    assert!(granted(voter.hear(0.4, 4, &Poll::Bid(Post { term: 2, ..post }, 100))));
+}
+
 /// Terms go on growing where the voters that granted them are gone: who comes reads what was granted before it votes.
 #[test]
 fn terms_grow_through_a_change_and_a_kill_of_all() {
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -256,8 +256,10 @@
     /// A voter that lost its disk asks for what the others hold.
     Recall(u64),
     Recalled(u64, Vec<(Register, Slot)>, Vec<Post>),
-    /// With a number that tells one bid of a term from the next.
+    /// For a new term, with a number that tells one bid from the next.
     Bid(Post, u64),
+    /// The same by who holds the term, in the life in which it won it.
+    Renew(Post, u64),
     Grant(Post, u64),
     Deny(Post),
     /// A holder names its successor.
