Duties: a renewal waits for the disk until the term's record is on it

Cause: a renewal was said at once, also while the record of its term still waited for a slow disk. A voter that lost power then had forgotten the term while its renewal counted at the holder, and could grant another the next one early.

Ruled out: renewals always by way of the disk (they would end duties where disks are slow and busy).

Change: a voter tells itself when its disk has the record (Poll::Kept); renewals before that go the same way. Test: a_renewal_waits_for_the_disk_until_the_term_is_on_it, which fails before.

--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -428,9 +428,12 @@
         match poll {
             // Who has forgotten its grants grants nothing.
             Poll::Bid(..) | Poll::Renew(..) if !self.voter.whole() || !self.crew.founded() => Vec::new(),
-            Poll::Bid(..) | Poll::Renew(..) | Poll::Grant(..) | Poll::Deny(_) | Poll::Yield(..) => {
-                self.duties.hear(now, from, &poll)
-            }
+            Poll::Bid(..)
+            | Poll::Renew(..)
+            | Poll::Kept(_)
+            | Poll::Grant(..)
+            | Poll::Deny(_)
+            | Poll::Yield(..) => self.duties.hear(now, from, &poll),
             Poll::Recall(serial) if self.voter.whole() && self.muster.votes(self.me) => {
                 let told = Poll::Recalled(serial, self.voter.slots(), self.duties.granted_posts());
                 vec![Act::Store(Record::default(), vec![(from, self.muster.say(told))])]
--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -30,6 +30,8 @@
     holder: Node,
     term: u64,
     until: f64,
+    /// The disk has it: a renewal needs not wait for that.
+    kept: bool,
 }
 
 #[derive(Default)]
@@ -96,7 +98,7 @@
     pub fn recall(&mut self, now: f64, post: Post) {
         let Post { duty, holder, term } = post;
         if self.given.get(&duty).is_none_or(|given| given.term < term) {
-            self.given.insert(duty, Given { holder, term, until: now + SPAN });
+            self.given.insert(duty, Given { holder, term, until: now + SPAN, kept: true });
             // What it held itself is over with the life before: nobody else may have it sooner.
             if holder == self.me {
                 self.try_at.insert(duty, now);
@@ -212,6 +214,12 @@
             Poll::Bid(post, serial) if self.muster.votes(self.me) => {
                 self.asked(now, from, *post, *serial, false)
             }
+            Poll::Kept(post) if from == self.me => {
+                if let Some(given) = self.given.get_mut(&post.duty).filter(|g| g.term == post.term) {
+                    given.kept |= given.holder == post.holder;
+                }
+                Vec::new()
+            }
             Poll::Renew(post, serial) if self.muster.votes(self.me) => {
                 self.asked(now, from, *post, *serial, true)
             }
@@ -245,12 +253,18 @@
         let renewed = again && before.is_some_and(|g| g.holder == from && g.term == term);
         let free = before.is_none_or(|g| term > g.term && (g.holder == from || now >= g.until));
         if renewed || free {
-            self.given.insert(duty, Given { holder, term, until: now + SPAN });
+            let kept = renewed && before.is_some_and(|g| g.kept);
+            self.given.insert(duty, Given { holder, term, until: now + SPAN, kept });
             let grant = self.muster.say(Poll::Grant(post, serial));
-            if renewed {
-                return vec![Act::Send(from, grant)];
-            }
-            return vec![Act::Store(Record { posts: vec![post], ..Record::default() }, vec![(from, grant)])];
+            // A renewal that counts before the term is on the disk would be forgotten with it, and another would be granted.
+            return match renewed {
+                true if kept => vec![Act::Send(from, grant)],
+                true => vec![Act::Store(Record::default(), vec![(from, grant)])],
+                false => {
+                    let then = vec![(from, grant), (self.me, self.muster.say(Poll::Kept(post)))];
+                    vec![Act::Store(Record { posts: vec![post], ..Record::default() }, then)]
+                }
+            };
         }
         let Some(Given { holder, term, .. }) = before else { return Vec::new() };
         vec![Act::Send(from, self.muster.say(Poll::Deny(Post { duty, holder, term })))]
--- a/harbour/tests/duties.rs
+++ b/harbour/tests/duties.rs
@@ -31,6 +31,30 @@
     assert!(terms.len() > 3 && terms.windows(2).all(|two| two[0] < two[1]), "{terms:?}");
 }
 
+/// Guards against two holders: a voter renewed a term while the record of it still waited for a slow disk, lost that with its
+/// power, and granted another the next term while the holder counted on the renewal.
+#[test]
+fn a_renewal_waits_for_the_disk_until_the_term_is_on_it() {
+    let mut duties = Duties::new(0.0, 1, 1, &[]);
+    duties.set_muster(&Muster::first(&[1, 2, 3]));
+    let post = Post { duty: Duty::Tally, holder: 2, term: 1 };
+    let said_at_once =
+        |acts: &[Act]| acts.iter().any(|act| matches!(act, Act::Send(_, Word::Poll(_, Poll::Grant(..)))));
+    let bid = duties.hear(0.0, 2, &Poll::Bid(post, 7));
+    let Some(Act::Store(record, then)) = bid.first() else { panic!("{bid:?}") };
+    assert_eq!(record.posts, [post]);
+    assert!(!said_at_once(&duties.hear(0.2, 2, &Poll::Renew(post, 8))));
+    // Nobody else's word stands for the disk.
+    duties.hear(0.2, 2, &Poll::Kept(post));
+    assert!(!said_at_once(&duties.hear(0.3, 2, &Poll::Renew(post, 9))));
+    for (to, word) in then {
+        if let (1, Word::Poll(_, poll)) = (*to, word) {
+            duties.hear(0.4, 1, poll);
+        }
+    }
+    assert!(said_at_once(&duties.hear(0.5, 2, &Poll::Renew(post, 10))), "renewals cost no disk after that");
+}
+
 /// Grants as an abstract model: lengths in ticks that each clock counts down by itself, no moments; words late or never;
 /// voters that start anew, one emptied disk, a change of the set with its joint epoch. `sounding` puts the very code to it.
 mod grants {
--- a/signal/src/lib.rs
+++ b/signal/src/lib.rs
@@ -260,6 +260,8 @@
     Bid(Post, u64),
     /// The same by who holds the term, in the life in which it won it.
     Renew(Post, u64),
+    /// Of a voter to itself alone: its disk has what it granted.
+    Kept(Post),
     Grant(Post, u64),
     Deny(Post),
     /// A holder names its successor.
