Duties: what a teller says late does not take the place of a grant made since

Change: a voter that votes takes no grants from others. The plan is kept: a_late_teller_does_not_undo_what_was_granted_since.

--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -439,6 +439,8 @@
                 vec![Act::Store(Record::default(), vec![(from, self.muster.say(told))])]
             }
             Poll::Recall(_) => Vec::new(),
+            // To one that votes it comes late: it must not take the place of what was granted since.
+            Poll::Recalled(..) if self.voter.whole() => Vec::new(),
             Poll::Recalled(_, _, ref posts) => {
                 posts.iter().for_each(|&post| self.duties.recall(now, post));
                 let mut acts = self.voter.hear(from, &poll);
--- a/sounding/tests/plans.rs
+++ b/sounding/tests/plans.rs
@@ -32,6 +32,32 @@
     assert_eq!(tried(&plan.unwrap(), false).fault, None);
 }
 
+/// Guards against two holders of a duty: what one teller said about grants came to an emptied voter late, after it was whole, and
+/// took the place of a grant that the holder still counted on.
+#[test]
+fn a_late_teller_does_not_undo_what_was_granted_since() {
+    let plan = Plan::read(
+        r#"{"seed": 506766, "size": "Small", "rates": [1.0,1.0,1.0,1.0], "syncs": [0.006967850060710723,0.009510716916620077,0.011605957600833102,0.011603343736822314], "steps": [
+              [0.872,{"Hang":{"node":1,"seconds":1.688}}],
+              [0.074,{"Race":{"nodes":[3,4],"gap":0.065}}],
+              [0.023,{"Power":{"node":1,"down":0.806}}],
+              [0.576,{"Freeze":{"node":1,"seconds":9.367}}],
+              [1.22,{"Race":{"nodes":[2,3],"gap":0.022}}],
+              [0.0,{"Noise":{"lossy":0.01,"doubled":0.004,"late":0.028,"late_by":0.06,"seconds":1.93}}],
+              [0.014,{"Slow":{"node":2,"sync":0.012,"seconds":0.482}}],
+              [0.002,{"Wipe":{"node":2,"down":0.539}}],
+              [0.0,{"Cut":{"from":2,"to":4,"seconds":19.367}}],
+              [0.0,{"Cut":{"from":3,"to":1,"seconds":14.525}}],
+              [2.247,{"Freeze":{"node":4,"seconds":7.93}}],
+              [0.324,{"Race":{"nodes":[1,2],"gap":0.133}}],
+              [3.228,{"Kill":{"node":1,"down":0.027}}],
+              [0.761,{"Stall":{"from":2,"to":3,"seconds":17.611}}],
+              [0.504,{"Chart":{"node":4,"above":0,"patience":2.0}}]
+            ]}"#,
+    );
+    assert_eq!(tried(&plan.unwrap(), false).fault, None);
+}
+
 /// Guards against a recall that asks ever more seldom: the voter was not whole long after it could have been.
 #[test]
 fn a_voter_cut_off_after_it_lost_its_disk_is_whole_soon_after() {
