--- a/fairway/src/plain.rs
+++ b/fairway/src/plain.rs
@@ -110,13 +110,16 @@
     most_body: usize,
     room: Rc<Cell<usize>>,
     head: Option<(Request, Length)>,
+    /// The last request asked for a head alone: a body after it would be read as the next answer.
+    bodiless: bool,
     failed: bool,
+    full: bool,
 }
 
 impl ServerSide {
     /// `room`: bytes left for large bodies, of all connections together.
     pub fn new(wanted: &'static [&'static str], most_body: usize, room: Rc<Cell<usize>>) -> ServerSide {
-        ServerSide { wanted, most_body, room, head: None, failed: false }
+        ServerSide { wanted, most_body, room, head: None, bodiless: false, failed: false, full: false }
     }
 
     /// A request has begun and is not whole.
@@ -124,6 +127,11 @@
         self.head.is_some()
     }
 
+    /// The last 413 is one for want of room: the same body may find some later.
+    pub fn full(&self) -> bool {
+        self.full
+    }
+
     fn bad(&mut self, status: u16) -> io::Result<Option<Asked>> {
         self.failed = true;
         Ok(Some(Asked::Bad(status)))
@@ -176,11 +184,13 @@
                 false => Length::Sized(framed.length.unwrap_or(0)),
             };
             from.advance(length);
+            self.bodiless = read.method == "HEAD";
             self.head = Some((read, body));
         }
         let Some((request, body)) = &mut self.head else { return Ok(None) };
         let known = body.known(from);
-        if known > self.most_body || !has_room(&mut request.held, &self.room, known) {
+        self.full = known <= self.most_body && !has_room(&mut request.held, &self.room, known);
+        if known > self.most_body || self.full {
             return self.bad(413);
         }
         match body.take(from, false, self.most_body) {
@@ -233,7 +243,9 @@
         head.extend_from_slice(b"\r\n");
         to.reserve(head.len() + body.len());
         to.extend_from_slice(&head);
-        to.extend_from_slice(&body);
+        if !self.bodiless {
+            to.extend_from_slice(&body);
+        }
         Ok(())
     }
 }
@@ -265,11 +277,13 @@
     most_body: usize,
     room: Rc<Cell<usize>>,
     head: Option<(Reply, Length)>,
+    /// The request that is out asks for a head alone.
+    bodiless: bool,
 }
 
 impl CallerSide {
     pub fn new(wanted: &'static [&'static str], most_body: usize, room: Rc<Cell<usize>>) -> CallerSide {
-        CallerSide { wanted, most_body, room, head: None }
+        CallerSide { wanted, most_body, room, head: None, bodiless: false }
     }
 
     fn step(&mut self, from: &mut BytesMut, ended: bool) -> io::Result<Option<Reply>> {
@@ -284,7 +298,7 @@
             let framed = lines(response.headers, self.wanted).ok_or_else(|| broken("reply headers"))?;
             let status = response.code.unwrap_or(0);
             let body = match (framed.chunked, framed.length) {
-                _ if status == 204 || status == 304 => Length::Sized(0),
+                _ if status == 204 || status == 304 || self.bodiless => Length::Sized(0),
                 (true, _) => Length::Chunked(Chunks::default(), BytesMut::new()),
                 (false, Some(length)) => Length::Sized(length),
                 (false, None) => Length::ToEnd,
@@ -344,6 +358,7 @@
 
     fn encode(&mut self, sending: Sending, to: &mut BytesMut) -> io::Result<()> {
         let Sending { method, target, host, lines, body } = sending;
+        self.bodiless = method == "HEAD";
         to.reserve(96 + target.len() + lines.len() + body.len());
         for part in [method, " ", target, " HTTP/1.1\r\nHost: ", host, "\r\n"] {
             to.extend_from_slice(part.as_bytes());
@@ -402,10 +417,32 @@
     fn a_doubled_field_is_unclear_and_large_bodies_need_room() {
         assert_eq!(asked(b"GET /a HTTP/1.1\r\nKey: a\r\nkey: b\r\n\r\n"), ["GET /a None b\"\""]);
         assert_eq!(asked(b"POST /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n"), ["413"]);
+        // For want of room it may find some later, and says so.
+        let full = |length: usize| {
+            let mut codec = ServerSide::new(&[], SMALL * 4, Rc::new(Cell::new(SMALL)));
+            let head = format!("POST /a HTTP/1.1\r\nContent-Length: {length}\r\n\r\n");
+            let decoded = codec.decode(&mut BytesMut::from(head.as_bytes()));
+            (matches!(decoded, Ok(Some(Asked::Bad(413)))), codec.full())
+        };
+        assert_eq!((full(SMALL * 5), full(SMALL * 2)), ((true, false), (true, true)));
         let two = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x\r\nab\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n";
         assert_eq!(asked(two), ["POST /a None b\"ab\"", "GET /b None b\"\""]);
     }
 
+    /// The body of an answer to HEAD would be the next request's answer to its reader; and none is waited for.
+    #[test]
+    fn an_answer_to_head_has_no_body() {
+        let mut server = ServerSide::new(&[], 100, Rc::new(Cell::new(1000)));
+        let (mut asked, mut said) = (BytesMut::from(&b"HEAD /a HTTP/1.1\r\n\r\n"[..]), BytesMut::new());
+        assert!(matches!(server.decode(&mut asked), Ok(Some(Asked::Request(_)))));
+        server.encode(Answer::json(405, "{}"), &mut said).unwrap();
+        assert!(said.ends_with(b"\r\n\r\n"), "{said:?}");
+        let mut caller = CallerSide::new(&[], 100, Rc::new(Cell::new(1000)));
+        let head = Sending { method: "HEAD", target: "/a", host: "a", lines: b"", body: b"" };
+        caller.encode(head, &mut asked).unwrap();
+        assert!(matches!(caller.decode(&mut said), Ok(Some(Reply { status: 405, .. }))) && said.is_empty());
+    }
+
     /// Whatever bytes come: no panic, and never a body that the head did not announce.
     #[test]
     fn any_bytes_are_requests_or_refused() {
--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -2,29 +2,35 @@
 //! stand to each other: the voter's disk comes before its word, what is chosen spreads by beats and pulls, sessions make
 //! members. Must never read a clock or touch a socket: `harbourmaster` does that.
 
+use crate::crew::{Crew, Ended, OWN_TOKENS, Sight};
 use crate::duties::{Duties, Term};
-use crate::founding::{self, Founding};
 use crate::helm::{Change, Helm};
 use crate::journal::{Event, Journal};
 use crate::roster::Roster;
 use crate::voter::Voter;
-use crate::{Act, Record};
-use signal::{Beat, Duty, Hosts, Keeper, Node, Piece, Post, Register, Slot, Vector, Word};
+use crate::{Act, Outcome, Record, Refusal, Reseat};
+use signal::{
+    Ballot, Beat, Duty, Held, Hosts, Keeper, Muster, Node, Piece, Poll, Post, REGISTERS, Register, Slot,
+    Vector, Word,
+};
 use std::collections::BTreeMap;
 
 /// Between two signs of life to the other control gateways.
 const BEAT_EVERY: f64 = 0.3;
 
+/// Without a majority's answer for longer than this, what is known of other gateways' sessions is not passed on.
+const CONTACT: f64 = 2.0;
+
 /// By then all sessions were told of, here and by the other control gateways.
 const KNOWS_PILOTS: f64 = 4.0;
 
 /// What a control gateway starts from.
 pub struct Start {
     pub keeper: Keeper,
-    /// The set of voters as the disk has it; empty where it has none.
-    pub voters: Vec<Node>,
-    /// At the very first start of the whole system: the seeds, and how many disks are needed.
-    pub founding: Option<(Vec<Node>, usize)>,
+    /// Who votes as the disk has it, at the very first start the seeds; not known where the disk is empty later.
+    pub muster: Muster,
+    /// So many seats are needed for what may be lost at once.
+    pub needed: usize,
     /// Slots from the disk; none where the disk is empty though this is not the first start.
     pub slots: Option<BTreeMap<Register, Slot>>,
     /// Duties that it granted last, from the disk.
@@ -34,7 +40,8 @@
 
 pub struct Control {
     me: Node,
-    voters: Vec<Node>,
+    muster: Muster,
+    crew: Crew,
     pub voter: Voter,
     pub helm: Helm,
     pub duties: Duties,
@@ -44,16 +51,48 @@
     ahead: f64,
     beat_at: f64,
     began: f64,
-    founding: Option<Founding>,
+    chance: oorandom::Rand64,
+}
+
+/// One control gateway as another one sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    pub node: Node,
+    /// None of one that nobody has met.
+    pub zone: Option<String>,
+    /// It has a seat; it is to have one once the change that is under way ends.
+    pub seat: bool,
+    pub comes: bool,
+    /// Seconds since a word of it came; none where none ever did.
+    pub heard: Option<f64>,
+    /// Does its disk hold all that it ever promised? None where it didn't say.
+    pub whole: Option<bool>,
+}
+
+/// Who votes, as one control gateway sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Voters {
+    pub muster: Muster,
+    /// False while a first start still takes others in: no order is taken.
+    pub founded: bool,
+    /// All control gateways that have a seat, are to have one, or could.
+    pub members: Vec<Member>,
+    /// What this gateway's own disk holds of each register: stamp and ballot. Of several survivors the one with the greatest
+    /// ballots is the newest.
+    pub holds: Vec<(Register, u64, Ballot)>,
+    /// How the last change ended, and how many seconds ago.
+    pub last: Option<(f64, Ended)>,
 }
 
 impl Control {
     pub fn new(now: f64, start: Start) -> Control {
-        let Start { keeper, voters, founding, slots, posts, seed } = start;
+        let Start { keeper, muster, needed, slots, posts, seed } = start;
         let me = keeper.node;
+        let mut chance = oorandom::Rand64::new(u128::from(seed.rotate_left(7)));
         let mut control = Control {
             me,
-            voters: Vec::new(),
+            muster: Muster::default(),
+            crew: Crew::new(now, me, needed),
             voter: Voter::new(now, me, slots),
             helm: Helm::new(me, seed),
             duties: Duties::new(now, me, !seed, &posts),
@@ -61,28 +100,151 @@
             ahead: 0.0,
             beat_at: f64::NEG_INFINITY,
             began: now,
-            founding: None,
+            chance: oorandom::Rand64::new(u128::from(chance.rand_u64())),
         };
-        match founding {
-            Some((seeds, needed)) if needed > seeds.len() => {
-                control.founding = Some(Founding::new(now, me, &seeds, needed, seed.rotate_left(17)));
+        control.voter.set_serial(chance.rand_u64());
+        control.stand(now, &muster);
+        control
+    }
+
+    /// Another epoch begins here, unless this one or a later one has. It is on the disk before any word of it.
+    fn stand(&mut self, now: f64, muster: &Muster) -> Vec<Act> {
+        if muster.epoch <= self.muster.epoch || muster.seats.is_empty() {
+            return Vec::new();
+        }
+        self.muster = muster.clone();
+        self.voter.set_muster(muster);
+        self.duties.set_muster(muster);
+        let mut acts = self.keep_muster();
+        acts.extend(self.helm.set_muster(now, muster));
+        acts.extend(self.crew.stand(now, muster));
+        acts
+    }
+
+    /// What follows from the acts of a part: orders of the crew end with the crew, and a set that was chosen stands.
+    fn follow(&mut self, now: f64, acts: Vec<Act>) -> Vec<Act> {
+        let mut rest = Vec::new();
+        for act in acts {
+            match act {
+                Act::Done(token, outcome) if token >= OWN_TOKENS => {
+                    // An order of the crew is about one register; the greatest ballot of all would do as well.
+                    self.crew.done(now, token, outcome, |r| self.helm.chosen(r).map(|h| h.ballot));
+                }
+                other => rest.push(other),
             }
-            Some((seeds, _)) => control.set_voters(&seeds),
-            None => control.set_voters(&voters),
         }
-        control
+        let chosen = self.helm.chosen(Register::Muster).filter(|held| held.stamp > self.muster.epoch);
+        if let Some(muster) = chosen.and_then(|held| Muster::from_bytes(&held.value)) {
+            rest.extend(self.stand(now, &muster));
+            rest.extend(self.beat_all(now));
+        }
+        rest
+    }
+
+    /// Steers the change of voters.
+    fn tick_crew(&mut self, now: f64) -> Vec<Act> {
+        let keepers = self.journal.roster.keepers();
+        let old = |r: &Register| self.helm.chosen(*r).is_some_and(|held| !self.stands(held));
+        let sight = Sight {
+            keepers: &keepers,
+            confirmed: self.helm.confirmed(Register::Muster),
+            all: REGISTERS.iter().try_fold(f64::INFINITY, |all, r| Some(self.helm.confirmed(*r)?.min(all))),
+            stale: REGISTERS.into_iter().filter(old).collect(),
+            whole: self.voter.whole(),
+            duties: !self.duties.posts(now).is_empty() || !self.duties.granted_posts().is_empty(),
+        };
+        let (mut acts, changes) = self.crew.tick(now, &sight);
+        for (token, change) in changes {
+            let proposed = self.helm.propose(now, change, token);
+            acts.extend(self.follow(now, proposed));
+        }
+        acts
+    }
+
+    /// Was it chosen under this founding? What was before it is not given out: it may be newer than what stands.
+    fn stands(&self, held: &Held) -> bool {
+        held.ballot.round > self.muster.least_round()
+    }
+
+    fn standing(&self, register: Register) -> Option<&Held> {
+        self.helm.chosen(register).filter(|held| self.stands(held))
+    }
+
+    /// A disk that names who votes vouches for its slots: one that has forgotten them must not.
+    fn keep_muster(&self) -> Vec<Act> {
+        let muster = Some(self.muster.clone()).filter(|muster| muster.known() && self.voter.whole());
+        let keep = |muster| Act::Store(Record { muster: Some(muster), ..Record::default() }, Vec::new());
+        muster.map(keep).into_iter().collect()
+    }
+
+    pub fn muster(&self) -> &Muster {
+        &self.muster
+    }
+
+    /// An order about who votes; ends as `Act::Done` under `token`, which is below `crew::OWN_TOKENS`. A replacement that ends
+    /// as unclear goes on: sent again, the order waits for the same change, or is told that it has come.
+    pub fn reseat(&mut self, now: f64, order: Reseat, token: u64) -> Vec<Act> {
+        match order {
+            Reseat::Replace { old, new } => {
+                let ended = self.crew.replace(now, token, old, new);
+                let mut acts: Vec<Act> = ended.into_iter().map(|outcome| Act::Done(token, outcome)).collect();
+                acts.extend(self.tick_crew(now));
+                acts
+            }
+            Reseat::Refound { epoch, seats } => match self.refound(now, epoch, &seats) {
+                Ok(acts) => {
+                    self.crew.found(now, token, seats);
+                    acts
+                }
+                Err(refusal) => vec![Act::Done(token, Outcome::Refused(refusal))],
+            },
+        }
     }
 
-    fn set_voters(&mut self, voters: &[Node]) {
-        self.founding = None;
-        self.voters = voters.to_vec();
-        self.voter.set_voters(voters);
-        self.helm.set_voters(voters);
-        self.duties.set_voters(voters);
+    /// Founds anew with this gateway's seat alone, on what its disk holds; the others that are named are taken in from there,
+    /// by agreement. Which set it is and under which ballot are on its disk at one time, before a word of it.
+    fn refound(&mut self, now: f64, epoch: u64, seats: &[Node]) -> Result<Vec<Act>, Refusal> {
+        match () {
+            () if !self.muster.known() => return Err(Refusal::Unknown),
+            () if !self.voter.whole() => return Err(Refusal::NotWhole),
+            () if !seats.contains(&self.me) => return Err(Refusal::NoSeat),
+            () if epoch != self.muster.epoch => return Err(Refusal::Epoch),
+            () => {}
+        }
+        let muster = self.muster.refound(vec![self.me], self.chance.rand_u64() as u16);
+        let nonce = self.chance.rand_u64() as u32;
+        let ballot = Ballot { round: muster.least_round() + 1, node: self.me, nonce };
+        let held = Held { ballot, stamp: muster.epoch, value: muster.to_bytes(), marks: Vec::new() };
+        self.voter.found(held.clone());
+        let record = Record { slots: self.voter.slots(), muster: Some(muster.clone()), ..Record::default() };
+        let mut acts = vec![Act::Store(record, Vec::new())];
+        acts.extend(self.helm.learn(Register::Muster, &held));
+        acts.extend(self.stand(now, &muster));
+        Ok(acts)
     }
 
-    pub fn voters(&self) -> &[Node] {
-        &self.voters
+    /// Who votes, for people to look at.
+    pub fn voters(&self, now: f64) -> Voters {
+        let keepers = self.journal.roster.keepers();
+        let mut nodes: Vec<Node> = keepers.iter().map(|k| k.node).chain(self.muster.voters()).collect();
+        nodes.sort_unstable();
+        nodes.dedup();
+        let member = |node: Node| Member {
+            node,
+            zone: keepers.iter().find(|k| k.node == node).map(|k| k.zone.clone()),
+            seat: self.muster.seats.contains(&node),
+            comes: self.muster.coming.contains(&node),
+            heard: self.crew.watch.silent(now, node),
+            whole: self.crew.watch.whole(node),
+        };
+        let slots = self.voter.slots().into_iter();
+        Voters {
+            muster: self.muster.clone(),
+            founded: self.crew.founded(),
+            members: nodes.into_iter().map(member).collect(),
+            holds: slots.filter_map(|(r, slot)| slot.held.map(|held| (r, held.stamp, held.ballot))).collect(),
+            last: self.crew.last().map(|(at, ended)| (now - at, ended.clone())),
+        }
     }
 
     pub fn clock(&self, now: f64) -> f64 {
@@ -116,23 +278,31 @@
     }
 
     pub fn greeting(&self) -> Word {
-        Word::Greet { keeper: self.journal.roster.keeper.clone(), voters: self.voters.clone() }
+        Word::Greet { keeper: self.journal.roster.keeper.clone(), muster: self.muster.clone() }
     }
 
+    /// When a majority was asked that confirmed all that data gateways are given from registers.
+    fn confirmed(&self) -> Option<f64> {
+        let of = |register| self.helm.confirmed(register);
+        Some(of(Register::Chart)?.min(of(Register::Evacuations)?))
+    }
+
+    /// Who has only started, or is cut off, or was a moment ago, may not know of all: too few would make shares too large.
     fn knows_pilots(&self, now: f64) -> bool {
         now > self.began + KNOWS_PILOTS
+            && self.journal.roster.caught_up(now)
+            && self.confirmed().is_some_and(|at| now < at + CONTACT)
     }
 
     pub fn vector(&self, now: f64) -> Vector {
-        let stamp = |register| self.helm.chosen(register).map_or(0, |held| held.stamp);
+        let stamp = |register| self.standing(register).map_or(0, |held| held.order());
         Vector {
             chart: stamp(Register::Chart),
             evacuations: stamp(Register::Evacuations),
             hosts: (self.journal.hosts.term, self.journal.hosts.version),
             keepers: self.journal.roster.keepers_stamp(),
-            // Who has only started does not know of all: too few would make shares too large.
             pilots: if self.knows_pilots(now) { self.journal.roster.counted_stamp() } else { 0 },
-            sessions: self.journal.roster.vector(),
+            sessions: self.journal.roster.vector(now),
         }
     }
 
@@ -141,10 +311,12 @@
         Word::Beat(Beat {
             serial,
             clock: self.clock(now),
-            confirmed: self.helm.confirmed(Register::Chart).map(|at| now - at),
+            confirmed: self.confirmed().map(|at| now - at),
             vector: self.vector(now),
             posts: self.duties.posts(now),
-            voters: self.voters.clone(),
+            muster: self.muster.clone(),
+            whole: self.voter.whole(),
+            missing: self.crew.missing(now),
         })
     }
 
@@ -155,9 +327,8 @@
             [(Register::Chart, theirs.chart), (Register::Evacuations, theirs.evacuations)]
         {
             pieces.extend(
-                self.helm
-                    .chosen(register)
-                    .filter(|h| h.stamp > stamp)
+                self.standing(register)
+                    .filter(|h| h.order() > stamp)
                     .map(|h| Piece::Chosen(register, h.clone())),
             );
         }
@@ -175,6 +346,9 @@
         if sessions && !theirs.sessions.contains(&(own.source, own.boot, own.version)) {
             pieces.push(Piece::Sessions(own));
         }
+        if sessions {
+            pieces.extend(self.journal.roster.relayed(now, &theirs.sessions).map(Piece::Sessions));
+        }
         pieces
     }
 
@@ -187,6 +361,7 @@
             || theirs.hosts > mine.hosts
             || theirs.keepers != mine.keepers
             || theirs_own.is_some_and(|own| !mine.sessions.contains(own))
+            || self.journal.roster.lacks(now, &theirs.sessions)
     }
 
     pub fn take(&mut self, now: f64, pieces: Vec<Piece>) -> Vec<Act> {
@@ -208,8 +383,14 @@
         acts
     }
 
+    /// A change of a register under a token below `crew::OWN_TOKENS`. While a first start still takes others in it is unclear
+    /// at once, and nothing was begun.
     pub fn propose(&mut self, now: f64, change: Change, token: u64) -> Vec<Act> {
-        self.helm.propose(now, change, token)
+        if !self.crew.founded() {
+            return vec![Act::Done(token, Outcome::Unclear)];
+        }
+        let acts = self.helm.propose(now, change, token);
+        self.follow(now, acts)
     }
 
     fn others(&self) -> impl Iterator<Item = Node> {
@@ -225,82 +406,108 @@
 
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = self.voter.tick(now);
-        if let Some(founding) = &mut self.founding {
-            acts.extend(founding.tick(now, &self.journal.roster.keepers()));
+        let helm = self.helm.tick(now);
+        acts.extend(self.follow(now, helm));
+        acts.extend(self.tick_crew(now));
+        if self.crew.founded() {
+            acts.extend(self.duties.tick(now));
         }
-        acts.extend(self.helm.tick(now));
-        acts.extend(self.duties.tick(now));
-        if self.journal.append(now, Event::Passed) || now >= self.beat_at + BEAT_EVERY {
+        let contact = self.muster.enough(|node| self.journal.roster.hears(now, node));
+        if self.journal.append(now, Event::Passed { contact }) || now >= self.beat_at + BEAT_EVERY {
             acts.extend(self.beat_all(now));
         }
         acts
     }
 
-    fn told_voters(&mut self, voters: &[Node]) {
-        if self.voters.is_empty() && !voters.is_empty() {
-            self.set_voters(voters);
+    /// What is said to voters and by them. An old epoch's word is answered by who votes now; a later epoch's sender is told of
+    /// this one, and answers so in turn.
+    fn poll(&mut self, now: f64, from: Node, epoch: u64, poll: Poll) -> Vec<Act> {
+        if epoch != self.muster.epoch {
+            return vec![Act::Send(from, Word::Muster(self.muster.clone()))];
         }
-    }
-
-    fn found(&mut self, now: f64, from: Node, word: &Word) -> Vec<Act> {
-        let Some(founding) = &mut self.founding else { return Vec::new() };
-        let acts = founding.hear(now, from, word);
-        if let Some(voters) = founding.decided() {
-            self.set_voters(&voters);
+        match poll {
+            // Who has forgotten its grants grants nothing.
+            Poll::Bid(..) | Poll::Renew(..) if !self.voter.whole() || !self.crew.founded() => Vec::new(),
+            Poll::Bid(..)
+            | Poll::Renew(..)
+            | Poll::Kept(_)
+            | Poll::Grant(..)
+            | Poll::Deny(_)
+            | Poll::Yield(..) => self.duties.hear(now, from, &poll),
+            Poll::Recall(serial) if self.voter.whole() && self.muster.votes(self.me) => {
+                let told = Poll::Recalled(serial, self.voter.slots(), self.duties.granted_posts());
+                vec![Act::Store(Record::default(), vec![(from, self.muster.say(told))])]
+            }
+            Poll::Recall(_) => Vec::new(),
+            // To one that votes it comes late: it must not take the place of what was granted since.
+            Poll::Recalled(..) if self.voter.whole() => Vec::new(),
+            Poll::Recalled(_, _, ref posts) => {
+                posts.iter().for_each(|&post| self.duties.recall(now, post));
+                let mut acts = self.voter.hear(from, &poll);
+                // What was told and who votes go to the disk together: the one vouches for the other.
+                if let Some(Act::Store(record, _)) = acts.first_mut() {
+                    record.posts = self.duties.granted_posts();
+                    record.muster = Some(self.muster.clone());
+                    // While the set changes all registers are settled anyway.
+                    let read = if self.muster.changing() { Vec::new() } else { self.voter.read() };
+                    for register in read {
+                        let settled = self.helm.propose(now, Change::Settle(register), OWN_TOKENS);
+                        acts.extend(self.follow(now, settled));
+                    }
+                }
+                acts
+            }
+            Poll::Promise(..)
+            | Poll::Accepted(..)
+            | Poll::Refuse(..)
+            | Poll::Answer(..)
+            | Poll::Fetched(..) => {
+                match &poll {
+                    Poll::Accepted(register, ballot) => self.crew.holds(from, *register, *ballot),
+                    Poll::Answer(_, held) => held.iter().for_each(|(r, b)| self.crew.holds(from, *r, *b)),
+                    _ => {}
+                }
+                let acts = self.helm.hear(now, from, &poll);
+                self.follow(now, acts)
+            }
+            Poll::Prepare(..) | Poll::Accept(..) | Poll::Ask(_) | Poll::Fetch(_) => {
+                self.voter.hear(from, &poll)
+            }
         }
-        acts
     }
 
     /// A word of another control gateway, or of this one to itself.
     pub fn hear(&mut self, now: f64, from: Node, word: Word) -> Vec<Act> {
+        self.crew.watch.heard(now, from);
         match word {
-            ref word if founding::concerns(word) => self.found(now, from, word),
-            Word::Greet { keeper, voters } => {
-                self.told_voters(&voters);
-                self.happened(now, Event::Met(keeper))
+            Word::Greet { keeper, muster } => {
+                self.voter.greeted(from);
+                let mut acts = self.stand(now, &muster);
+                acts.extend(self.happened(now, Event::Met(keeper)));
+                acts
             }
             Word::Beat(beat) => {
                 self.heard_clock(now, beat.clock);
-                self.told_voters(&beat.voters);
-                self.journal.append(now, Event::Heard(from));
+                self.crew.watch.told(from, beat.whole, &beat.missing);
+                let mut acts = self.stand(now, &beat.muster);
+                let hears = beat.vector.sessions.iter().map(|(source, _, _)| *source).collect();
+                self.journal.append(now, Event::Heard(from, hears));
                 beat.posts.iter().for_each(|&post| self.duties.told(now, from, post));
-                match self.lacks(now, from, &beat.vector) {
-                    true => vec![Act::Send(from, Word::Pull(self.vector(now)))],
-                    false => Vec::new(),
+                if self.lacks(now, from, &beat.vector) {
+                    acts.push(Act::Send(from, Word::Pull(self.vector(now))));
                 }
+                acts
+            }
+            Word::Muster(muster) if muster.epoch < self.muster.epoch => {
+                vec![Act::Send(from, Word::Muster(self.muster.clone()))]
             }
+            Word::Muster(muster) => self.stand(now, &muster),
+            Word::Poll(epoch, poll) => self.poll(now, from, epoch, poll),
             Word::Pull(theirs) => match self.lacking(now, &theirs, true) {
                 pieces if pieces.is_empty() => Vec::new(),
                 pieces => vec![Act::Send(from, Word::News(pieces))],
             },
             Word::News(pieces) => self.take(now, pieces),
-            // Who has forgotten its grants grants nothing.
-            Word::Bid(..) if !self.voter.whole() => Vec::new(),
-            Word::Bid(..) | Word::Grant(..) | Word::Deny(_) | Word::Yield(..) => {
-                self.duties.hear(now, from, &word)
-            }
-            Word::Recall(serial) if self.voter.whole() && self.voters.contains(&self.me) => {
-                let word = Word::Recalled(serial, self.voter.slots(), self.duties.granted_posts());
-                vec![Act::Store(Record::default(), vec![(from, word)])]
-            }
-            Word::Recall(_) => Vec::new(),
-            Word::Recalled(_, _, ref posts) => {
-                posts.iter().for_each(|&post| self.duties.recall(now, post));
-                let mut acts = self.voter.hear(from, &word);
-                if !acts.is_empty() {
-                    let posts = self.duties.granted_posts();
-                    acts.push(Act::Store(Record { slots: Vec::new(), posts }, Vec::new()));
-                }
-                acts
-            }
-            Word::Promise(..)
-            | Word::Accepted(..)
-            | Word::Refuse(..)
-            | Word::Answer(..)
-            | Word::Fetched(..) => self.helm.hear(now, from, &word),
-            Word::Prepare(..) | Word::Accept(..) | Word::Ask(_) | Word::Fetch(_) => {
-                self.voter.hear(from, &word)
-            }
             Word::Hail { .. } | Word::Adds { .. } | Word::Totals { .. } => Vec::new(),
         }
     }
@@ -308,7 +515,7 @@
     /// Leaves the duties to the nearest other control gateway that was heard of.
     pub fn leave(&mut self, now: f64) -> Vec<Act> {
         let mut others = self.journal.roster.keepers();
-        others.retain(|k| k.node != self.me && self.voters.contains(&k.node));
+        others.retain(|k| k.node != self.me && self.muster.votes(k.node));
         others.sort_by_key(|k| (k.region != self.journal.roster.keeper.region, k.node));
         self.duties.leave(now, others.first().map(|k| k.node))
     }
--- a/harbour/src/duties.rs
+++ b/harbour/src/duties.rs
@@ -4,8 +4,8 @@
 //! takes the last grant for fresh, and so knows who alone may still rely on it. Terms only ever grow. Must never let two
 //! gateways hold one duty at a moment.
 
-use crate::{Act, Record, majority};
-use signal::{DUTIES, Duty, Node, Post, Word};
+use crate::{Act, Record};
+use signal::{DUTIES, Duty, Muster, Node, Poll, Post};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a grant lasts. Four renewals fit in, so that lost messages cost no duty; a dead holder's duty stands still
@@ -30,6 +30,8 @@
     holder: Node,
     term: u64,
     until: f64,
+    /// The disk has it: a renewal needs not wait for that.
+    kept: bool,
 }
 
 #[derive(Default)]
@@ -39,6 +41,8 @@
     serial: u64,
     at: f64,
     yes: BTreeSet<Node>,
+    /// Of a successor that was named: a voter that denies has only not heard of it yet, and is asked once more.
+    again: bool,
 }
 
 /// A term that this gateway holds: since when, and until when at least.
@@ -51,7 +55,7 @@
 
 pub struct Duties {
     me: Node,
-    voters: Vec<Node>,
+    muster: Muster,
     chance: oorandom::Rand64,
     given: BTreeMap<Duty, Given>,
     bidding: BTreeMap<Duty, Bidding>,
@@ -60,6 +64,8 @@
     known: BTreeMap<Duty, (Post, f64)>,
     /// The greatest term that anybody granted, as far as known.
     seen: BTreeMap<Duty, u64>,
+    /// Terms up to this one were given up by their holder: word of them that is still about is old.
+    over: BTreeMap<Duty, u64>,
     try_at: BTreeMap<Duty, f64>,
     serial: u64,
     leaving: bool,
@@ -68,17 +74,20 @@
 impl Duties {
     /// `posts`: what this gateway granted last in its life before, from its disk.
     pub fn new(now: f64, me: Node, seed: u64, posts: &[Post]) -> Duties {
+        // By chance, so that no grant to an earlier life's bid is taken for one to this life's.
+        let serial = oorandom::Rand64::new(u128::from(seed.rotate_left(1))).rand_u64();
         let mut duties = Duties {
             me,
-            voters: Vec::new(),
+            muster: Muster::default(),
             chance: oorandom::Rand64::new(u128::from(seed)),
             given: BTreeMap::new(),
             bidding: BTreeMap::new(),
             held: BTreeMap::new(),
             known: BTreeMap::new(),
             seen: BTreeMap::new(),
+            over: BTreeMap::new(),
             try_at: BTreeMap::new(),
-            serial: 0,
+            serial,
             leaving: false,
         };
         posts.iter().for_each(|&post| duties.recall(now, post));
@@ -89,7 +98,7 @@
     pub fn recall(&mut self, now: f64, post: Post) {
         let Post { duty, holder, term } = post;
         if self.given.get(&duty).is_none_or(|given| given.term < term) {
-            self.given.insert(duty, Given { holder, term, until: now + SPAN });
+            self.given.insert(duty, Given { holder, term, until: now + SPAN, kept: true });
             // What it held itself is over with the life before: nobody else may have it sooner.
             if holder == self.me {
                 self.try_at.insert(duty, now);
@@ -102,8 +111,10 @@
         self.given.iter().map(|(&duty, g)| Post { duty, holder: g.holder, term: g.term }).collect()
     }
 
-    pub fn set_voters(&mut self, voters: &[Node]) {
-        self.voters = voters.to_vec();
+    /// Another epoch: bids of the one before count for nothing. What is held stands until its grants end.
+    pub fn set_muster(&mut self, muster: &Muster) {
+        self.muster = muster.clone();
+        self.bidding.clear();
     }
 
     /// The term in which this gateway holds a duty now.
@@ -120,6 +131,9 @@
     /// Word of who holds a duty, from a majority's grant; `from` the holder itself it is a sign of life.
     pub fn told(&mut self, now: f64, from: Node, post: Post) {
         let known = self.known.get(&post.duty);
+        if self.over.get(&post.duty).is_some_and(|over| post.term <= *over) {
+            return;
+        }
         if known.is_none_or(|(k, _)| k.term < post.term || (k.term == post.term && from == post.holder)) {
             self.known.insert(post.duty, (post, now));
         }
@@ -128,7 +142,7 @@
     /// This gateway's turn to bid after a holder that is gone; a fraction of a turn lets all grants of its end first.
     fn turn(&self, gone: &Post) -> f64 {
         const ENDS: f64 = 0.4;
-        let rest: Vec<Node> = self.voters.iter().copied().filter(|&node| node != gone.holder).collect();
+        let rest: Vec<Node> = self.muster.voters().into_iter().filter(|&node| node != gone.holder).collect();
         let first = gone.term as usize % rest.len().max(1);
         let place = rest.iter().position(|&node| node == self.me);
         ENDS + place.map_or(rest.len(), |place| (place + rest.len() - first) % rest.len()) as f64
@@ -142,29 +156,36 @@
             + 1
     }
 
-    fn bid(&mut self, now: f64, duty: Duty, term: u64) -> Vec<Act> {
-        self.serial += 1;
+    /// `again`: for a term that this gateway holds, or has just bid for; another life's bid is never taken for such a one.
+    fn bid(&mut self, now: f64, duty: Duty, term: u64, again: bool) -> Vec<Act> {
+        self.serial = self.serial.wrapping_add(1);
         let serial = self.serial;
-        self.bidding.insert(duty, Bidding { term, serial, at: now, yes: BTreeSet::new() });
+        let yes = BTreeSet::new();
+        self.bidding.insert(duty, Bidding { term, serial, at: now, yes, again: false });
         let post = Post { duty, holder: self.me, term };
-        self.voters.iter().map(|&node| Act::Send(node, Word::Bid(post, serial))).collect()
+        let word = self.muster.say(if again { Poll::Renew(post, serial) } else { Poll::Bid(post, serial) });
+        self.muster.voters().into_iter().map(|node| Act::Send(node, word.clone())).collect()
     }
 
     fn give_back(&mut self, duty: Duty) -> Vec<Act> {
         let Some(Bidding { term, yes, .. }) = self.bidding.remove(&duty) else { return Vec::new() };
         let post = Post { duty, holder: self.me, term };
-        yes.into_iter().map(|node| Act::Send(node, Word::Yield(post, NOBODY))).collect()
+        // Never bid for again: this word, should it come late, must not free a grant that was won.
+        let seen = self.seen.entry(duty).or_default();
+        *seen = term.max(*seen);
+        let word = self.muster.say(Poll::Yield(post, NOBODY));
+        yes.into_iter().map(|node| Act::Send(node, word.clone())).collect()
     }
 
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = Vec::new();
-        if self.leaving || self.voters.is_empty() {
+        if self.leaving || !self.muster.known() {
             return acts;
         }
         for duty in DUTIES {
             if let Some(term) = self.holds(now, duty) {
                 if self.bidding.get(&duty).is_none_or(|b| now >= b.at + RENEW_EVERY) {
-                    acts.extend(self.bid(now, duty, term.term));
+                    acts.extend(self.bid(now, duty, term.term, true));
                 }
                 continue;
             }
@@ -183,29 +204,45 @@
                 continue;
             }
             let term = self.next_term(duty);
-            acts.extend(self.bid(now, duty, term));
+            acts.extend(self.bid(now, duty, term, false));
         }
         acts
     }
 
-    pub fn hear(&mut self, now: f64, from: Node, word: &Word) -> Vec<Act> {
-        match word {
-            Word::Bid(post, serial) if self.voters.contains(&self.me) => {
-                self.asked(now, from, *post, *serial)
+    pub fn hear(&mut self, now: f64, from: Node, poll: &Poll) -> Vec<Act> {
+        match poll {
+            Poll::Bid(post, serial) if self.muster.votes(self.me) => {
+                self.asked(now, from, *post, *serial, false)
+            }
+            Poll::Kept(post) if from == self.me => {
+                if let Some(given) = self.given.get_mut(&post.duty).filter(|g| g.term == post.term) {
+                    given.kept |= given.holder == post.holder;
+                }
+                Vec::new()
             }
-            Word::Grant(post, serial) => self.granted(now, from, *post, *serial),
+            Poll::Renew(post, serial) if self.muster.votes(self.me) => {
+                self.asked(now, from, *post, *serial, true)
+            }
+            Poll::Grant(post, serial) => self.granted(now, from, *post, *serial),
             // What one voter granted is no word of a holder: it may have lost. Only its term counts, to bid above it.
-            Word::Deny(post) => {
+            Poll::Deny(post) => {
                 let seen = self.seen.entry(post.duty).or_default();
                 *seen = post.term.max(*seen);
-                Vec::new()
+                let over = self.over.get(&post.duty).is_some_and(|over| post.term <= *over);
+                match self.bidding.get_mut(&post.duty) {
+                    Some(Bidding { term, again: true, .. }) if over => {
+                        let term = *term;
+                        self.bid(now, post.duty, term, true)
+                    }
+                    _ => Vec::new(),
+                }
             }
-            Word::Yield(post, successor) => self.yielded(now, from, *post, *successor),
+            Poll::Yield(post, successor) => self.yielded(now, from, *post, *successor),
             _ => Vec::new(),
         }
     }
 
-    fn asked(&mut self, now: f64, from: Node, post: Post, serial: u64) -> Vec<Act> {
+    fn asked(&mut self, now: f64, from: Node, post: Post, serial: u64, again: bool) -> Vec<Act> {
         let Post { duty, holder, term } = post;
         if holder != from {
             return Vec::new();
@@ -213,29 +250,34 @@
         let before = self.given.get(&duty).copied();
         // Another's grant is waited out; a new term is above all terms before it. Who bids for a new term of its own has
         // given up the one before, or has lost it with its life.
-        let renewed = before.is_some_and(|g| g.holder == from && g.term == term);
+        let renewed = again && before.is_some_and(|g| g.holder == from && g.term == term);
         let free = before.is_none_or(|g| term > g.term && (g.holder == from || now >= g.until));
         if renewed || free {
-            self.given.insert(duty, Given { holder, term, until: now + SPAN });
-            let grant = Word::Grant(post, serial);
-            if renewed {
-                return vec![Act::Send(from, grant)];
-            }
-            return vec![Act::Store(Record { slots: Vec::new(), posts: vec![post] }, vec![(from, grant)])];
+            let kept = renewed && before.is_some_and(|g| g.kept);
+            self.given.insert(duty, Given { holder, term, until: now + SPAN, kept });
+            let grant = self.muster.say(Poll::Grant(post, serial));
+            // A renewal that counts before the term is on the disk would be forgotten with it, and another would be granted.
+            return match renewed {
+                true if kept => vec![Act::Send(from, grant)],
+                true => vec![Act::Store(Record::default(), vec![(from, grant)])],
+                false => {
+                    let then = vec![(from, grant), (self.me, self.muster.say(Poll::Kept(post)))];
+                    vec![Act::Store(Record { posts: vec![post], ..Record::default() }, then)]
+                }
+            };
         }
         let Some(Given { holder, term, .. }) = before else { return Vec::new() };
-        vec![Act::Send(from, Word::Deny(Post { duty, holder, term }))]
+        vec![Act::Send(from, self.muster.say(Poll::Deny(Post { duty, holder, term })))]
     }
 
     fn granted(&mut self, now: f64, from: Node, post: Post, serial: u64) -> Vec<Act> {
-        let Some(bidding) = self.bidding.get_mut(&post.duty).filter(|b| b.serial == serial) else {
-            return Vec::new();
-        };
-        if !self.voters.contains(&from) || self.leaving {
+        let mine = |bidding: &&mut Bidding| (bidding.serial, bidding.term) == (serial, post.term);
+        let Some(bidding) = self.bidding.get_mut(&post.duty).filter(mine) else { return Vec::new() };
+        if post.holder != self.me || !self.muster.votes(from) || self.leaving {
             return Vec::new();
         }
         bidding.yes.insert(from);
-        if bidding.yes.len() < majority(self.voters.len()) {
+        if !self.muster.enough(|node| bidding.yes.contains(&node)) {
             return Vec::new();
         }
         // From before the question was sent: no voter's grant ends sooner.
@@ -256,9 +298,9 @@
             let (Some(successor), post) = (successor, Post { duty, holder: self.me, term: term.term }) else {
                 continue;
             };
-            let voters = self.voters.iter().filter(|&&node| node != successor);
-            let to = voters.chain([&successor]);
-            acts.extend(to.map(|&node| Act::Send(node, Word::Yield(post, successor))));
+            let word = self.muster.say(Poll::Yield(post, successor));
+            let voters = self.muster.voters().into_iter().filter(|&node| node != successor);
+            acts.extend(voters.chain([successor]).map(|node| Act::Send(node, word.clone())));
         }
         acts
     }
@@ -272,6 +314,11 @@
         {
             given.until = now;
         }
+        // Of a term that was only given back, as it was not won, there is no word to be told.
+        if successor != NOBODY {
+            let over = self.over.entry(post.duty).or_default();
+            *over = post.term.max(*over);
+        }
         let known = self.known.get(&post.duty).is_some_and(|(k, _)| k.holder == from);
         if known {
             self.known.remove(&post.duty);
@@ -284,6 +331,8 @@
             self.try_at.insert(post.duty, now + BID_LASTS + BID_SPREAD * self.chance.rand_float());
             return Vec::new();
         }
-        self.bid(now, post.duty, post.term + 1)
+        let acts = self.bid(now, post.duty, post.term + 1, false);
+        self.bidding.entry(post.duty).and_modify(|bidding| bidding.again = true);
+        acts
     }
 }
--- /dev/null
+++ b/harbour/tests/contact.rs
@@ -0,0 +1,472 @@
+//! What a control gateway may say that a majority has not confirmed lately, and since when one has: reads at any rate,
+//! slow disks, answers out of order, late and of earlier lives, gateways that are cut off.
+
+mod roads;
+
+use harbour::Act;
+use harbour::helm::Helm;
+use harbour::journal::Event;
+use roads::Roads;
+use signal::{Ballot, Beat, Held, Hosts, Muster, Node, Piece, Poll, Register, Vector, Word};
+
+/// Longest search for a smaller case of a failure.
+const SHRINK: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Guards against reads that starve confirmation: each one began a new question and dropped the answers on their way, so
+/// that with a read every few milliseconds none was ever answered, and every lease ended.
+#[test]
+fn a_thousand_reads_a_second_are_confirmed_at_one_question_a_round_trip() {
+    const ROUND_TRIP: f64 = 0.024;
+    let mut roads = Roads::new(1, 3, 3);
+    roads.run(1.0);
+    roads.replace(2, 1, 7, 1);
+    roads.run(1.0);
+    let quiet = (roads.asks, roads.bytes);
+    roads.run(2.0);
+    let quiet = (roads.asks - quiet.0, roads.bytes - quiet.1);
+    let before = (roads.asks, roads.bytes);
+    let (mut waiting, mut slowest): (Vec<f64>, f64) = (Vec::new(), 0.0);
+    let until = roads.now + 2.0;
+    while roads.now < until {
+        for _ in 0..2 {
+            roads.step(1, |control, now| control.helm.ask_now(now));
+            waiting.push(roads.now);
+        }
+        roads.turn();
+        let confirmed = roads.now - roads.age(1, Register::Chart);
+        waiting.iter().filter(|at| **at <= confirmed).for_each(|at| slowest = slowest.max(roads.now - at));
+        waiting.retain(|at| *at > confirmed);
+        let age = roads.age(1, Register::Chart);
+        assert!(age < 3.0 * ROUND_TRIP || roads.now < until - 1.9, "{age}");
+    }
+    let (asks, bytes) = (roads.asks - before.0, roads.bytes - before.1);
+    println!("quiet {quiet:?}, read {:?} asks and bytes in 2 s, slowest read {slowest:.3}", (asks, bytes));
+    assert!(slowest < 2.5 * ROUND_TRIP, "{slowest}");
+    // Each question goes to two others; the shortest way there and back is half of the longest.
+    assert!(asks < quiet.0 + 2 * (2.0 / (0.5 * ROUND_TRIP)) as usize, "{asks} questions");
+}
+
+/// Guards against confirmation that starves where answers take longer than from one question to the next, as they do behind
+/// disks that are always in a slow sync.
+#[test]
+fn slow_disks_delay_confirmation_and_do_not_end_it() {
+    for sync in [0.5, 0.9, 1.5] {
+        let mut roads = Roads::new(4, 3, 3);
+        roads.run(1.0);
+        (roads.sync, roads.grind) = (sync, true);
+        roads.run(2.0 * sync);
+        let mut oldest: f64 = 0.0;
+        for turn in 0..4000 {
+            // And whether somebody reads all the while makes no difference.
+            if turn > 2000 {
+                roads.step(1, |control, now| control.helm.ask_now(now));
+            }
+            roads.turn();
+            oldest = oldest.max(roads.age(1, Register::Chart));
+        }
+        println!("a sync of {sync} s: confirmed at most {oldest:.2} s ago");
+        assert!(oldest < 0.4 + 2.0 * 1.2 * sync + 0.1, "{oldest} with {sync}");
+    }
+}
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, node: 9, nonce: 0 }
+}
+
+fn held(round: u64) -> Held {
+    Held { ballot: ballot(round), stamp: round, ..Held::default() }
+}
+
+/// One that asks and three voters that are asked, of which any two make a value chosen by holding it.
+struct Asked {
+    now: f64,
+    helm: Helm,
+    voters: [u64; 3],
+    newest: u64,
+    /// Each value and since when it is chosen.
+    chosen: Vec<(u64, f64)>,
+    way: Vec<(f64, Node, Poll)>,
+}
+
+impl Asked {
+    fn helm(seed: u64) -> Helm {
+        let mut helm = Helm::new(9, seed);
+        helm.set_muster(0.0, &Muster::first(&[1, 2, 3]));
+        helm
+    }
+
+    fn hold(&mut self, voter: usize) {
+        self.voters[voter] = self.newest;
+        let many = self.voters.iter().filter(|held| **held == self.newest).count();
+        if many == 2 && self.newest > 0 {
+            self.chosen.push((self.newest, self.now));
+        }
+    }
+
+    /// A voter answers with what it holds now; `late` is how long the answer takes, lost where none.
+    fn act(&mut self, acts: Vec<Act>, mut late: impl FnMut() -> Option<f64>) {
+        for act in acts {
+            let Act::Send(to, Word::Poll(_, poll)) = act else { continue };
+            let (holds, Some(late)) = (self.voters[to as usize - 1], late()) else { continue };
+            let answer = match poll {
+                Poll::Ask(serial) => {
+                    let of = |register| if register == Register::Chart { ballot(holds) } else { ballot(0) };
+                    let of = |r| (r, if holds == 0 { Ballot::default() } else { of(r) });
+                    Poll::Answer(serial, signal::REGISTERS.map(of).to_vec())
+                }
+                Poll::Fetch(Register::Chart) if holds > 0 => Poll::Fetched(Register::Chart, held(holds)),
+                _ => continue,
+            };
+            self.way.push((self.now + late, to, answer));
+        }
+    }
+
+    fn run(&mut self, seconds: f64, mut late: impl FnMut() -> Option<f64>) {
+        let until = self.now + seconds;
+        while self.now < until {
+            self.now += 0.01;
+            let now = self.now;
+            let due: Vec<_> = self.way.extract_if(.., |word| word.0 <= now).collect();
+            for (_, from, poll) in due {
+                let acts = self.helm.hear(now, from, &poll);
+                self.act(acts, &mut late);
+            }
+            let acts = self.helm.tick(now);
+            self.act(acts, &mut late);
+            let mine = self.helm.chosen(Register::Chart).map_or(0, |held| held.stamp);
+            let confirmed = self.helm.confirmed(Register::Chart).unwrap_or(f64::NEG_INFINITY);
+            let missed = self.chosen.iter().find(|(value, at)| *value > mine && *at < confirmed);
+            assert!(missed.is_none(), "{mine} was confirmed as of {confirmed}, but {missed:?} stood by then");
+        }
+    }
+}
+
+/// Answers in any order, lost, late by seconds, of questions of an earlier life: what is confirmed as of a time was the
+/// newest then; and once answers come again, confirmation is as fresh as they are.
+#[test]
+fn what_is_confirmed_was_the_newest_when_it_was_asked() {
+    bolero::check!()
+        .with_iterations(400)
+        .with_shrink_time(SHRINK)
+        .with_type::<(u64, Vec<(u8, u8)>)>()
+        .for_each(|(seed, plan)| {
+            let mut chance = oorandom::Rand64::new(u128::from(*seed));
+            let helm = Asked::helm(*seed);
+            let (chosen, way) = (Vec::new(), Vec::new());
+            let mut asked = Asked { now: 1.0, helm, voters: [0; 3], newest: 0, chosen, way };
+            for &(what, length) in plan.iter().take(40) {
+                match what % 8 {
+                    0 => asked.newest += 1,
+                    n @ 1..=3 => asked.hold(usize::from(n) - 1),
+                    4 => asked.helm = Asked::helm(chance.rand_u64()),
+                    _ => {
+                        let acts = asked.helm.ask_now(asked.now);
+                        asked.act(acts, || Some(0.3));
+                    }
+                }
+                let lossy = chance.rand_float();
+                let late = || (chance.rand_float() > lossy).then(|| 2.5 * chance.rand_float().powi(3));
+                asked.run(f64::from(length) / 400.0, late);
+            }
+            (0..3).for_each(|voter| asked.hold(voter));
+            const ANSWERED: f64 = 0.6;
+            let mut late = || Some(ANSWERED * chance.rand_float());
+            asked.run(4.0, &mut late);
+            for _ in 0..100 {
+                asked.run(0.02, &mut late);
+                let age = asked.now - asked.helm.confirmed(Register::Chart).expect("confirmed");
+                assert!(age < 0.4 + ANSWERED + 0.03, "{age}");
+                assert_eq!(asked.helm.chosen(Register::Chart).map_or(0, |held| held.stamp), asked.newest);
+            }
+        });
+}
+
+/// The number of the question that is asked at that time.
+fn question(helm: &mut Helm, now: f64) -> u64 {
+    let serial = |act: Act| match act {
+        Act::Send(_, Word::Poll(_, Poll::Ask(serial))) => Some(serial),
+        _ => None,
+    };
+    helm.tick(now).into_iter().find_map(serial).expect("a question")
+}
+
+fn answer(serial: u64, round: u64) -> Poll {
+    Poll::Answer(serial, vec![(Register::Chart, ballot(round))])
+}
+
+/// Guards against an answer that hung at a voter's disk through the asker's restart: questions were numbered from nought in
+/// each life, so that it was taken for one to this life's question, and vouched for what had long been replaced. An earlier
+/// epoch's counts as little.
+#[test]
+fn an_answer_to_a_question_of_an_earlier_life_or_epoch_counts_for_nothing() {
+    let mut before = Asked::helm(1);
+    let old = question(&mut before, 1.0);
+    // The asker starts anew; meanwhile 2 is chosen in the place of 1.
+    let mut helm = Asked::helm(2);
+    let first = question(&mut helm, 9.0);
+    helm.set_muster(9.0, &Muster::first(&[1, 2, 3]).begin(vec![1, 2, 4]));
+    let new = question(&mut helm, 9.1);
+    helm.learn(Register::Chart, &held(1));
+    for voter in [1, 2, 4] {
+        helm.hear(9.2, voter, &answer(old, 1));
+        helm.hear(9.2, voter, &answer(first, 1));
+    }
+    assert_eq!(helm.confirmed(Register::Chart), None);
+    for voter in [1, 2] {
+        helm.hear(9.2, voter, &answer(new, 2));
+    }
+    assert_eq!(helm.confirmed(Register::Chart), None, "what is held was replaced");
+    helm.learn(Register::Chart, &held(2));
+    assert_eq!(helm.confirmed(Register::Chart), Some(9.1), "since the question, not since the answers");
+}
+
+/// Guards against confirmation that starves under changes in quick succession, as the voters are apart at each question:
+/// whoever holds the newest that a majority names may say so.
+#[test]
+fn voters_that_are_apart_confirm_what_none_of_a_majority_is_beyond() {
+    for (named, confirmed) in [([1, 2, 2], true), ([1, 2, 3], true), ([3, 2, 3], false)] {
+        let mut helm = Asked::helm(1);
+        let serial = question(&mut helm, 1.0);
+        (1..=3).for_each(|voter| drop(helm.hear(1.1, voter, &answer(serial, named[voter as usize - 1]))));
+        helm.learn(Register::Chart, &held(2));
+        assert_eq!(helm.confirmed(Register::Chart), confirmed.then_some(1.0), "{named:?}");
+    }
+}
+
+/// Guards against what two voters held, one before it lost its disk and the other long after, taken for chosen.
+#[test]
+fn answers_far_apart_are_no_majority() {
+    for (later, together) in [(1.0, true), (2.6, false), (9.0, false)] {
+        let mut helm = Asked::helm(1);
+        let mut serial = question(&mut helm, 1.0);
+        helm.hear(1.1, 1, &answer(serial, 5));
+        let mut now = 1.0;
+        while now < 1.0 + later {
+            now += 0.4;
+            serial = question(&mut helm, now);
+        }
+        let fetches = !helm.hear(now, 2, &answer(serial, 5)).is_empty();
+        helm.hear(now, 2, &Poll::Fetched(Register::Chart, held(5)));
+        assert_eq!((fetches, helm.chosen(Register::Chart).is_some()), (together, together), "{later}");
+    }
+}
+
+/// Six control gateways, all in contact, with a configuration, evacuations, and two data gateways in session with each.
+fn six(seed: u64) -> Roads {
+    let mut roads = Roads::new(seed, 3, 6);
+    roads.fine = 0.01;
+    hailed(&mut roads, 1.0, 0, |_| {});
+    roads.replace(2, 1, 7, 1);
+    roads.evacuate(3, 2, true);
+    hailed(&mut roads, 6.0, 0, |_| {});
+    assert_eq!(roads.stamp(6, Register::Chart), 8);
+    roads
+}
+
+/// Time passes while data gateways hail their control gateways; `more` of them have come to the sixth one.
+fn hailed(roads: &mut Roads, seconds: f64, more: Node, mut look: impl FnMut(&Roads)) {
+    let until = roads.now + seconds;
+    let mut at = roads.now;
+    while roads.now < until {
+        for node in 1..=6 {
+            if roads.now < at || !roads.awake(node) {
+                continue;
+            }
+            for n in 0..2 + if node == 6 { more } else { 0 } {
+                let (pilot, front) =
+                    (100 * node + n, std::net::SocketAddrV4::new((100 * node + n).into(), 80));
+                let (zone, region) = (format!("z{node}"), "r".to_string());
+                let pilot = signal::Pilot { node: pilot, zone, region, front, ready: true };
+                roads.step(node, |control, now| control.happened(now, Event::Hailed(pilot)));
+            }
+        }
+        at = if roads.now >= at { roads.now + 0.4 } else { at };
+        roads.turn();
+        look(roads);
+    }
+}
+
+fn beat(roads: &Roads, node: Node) -> Beat {
+    match roads.live[&node].beat(roads.now, 0) {
+        Word::Beat(beat) => beat,
+        _ => panic!("no beat"),
+    }
+}
+
+/// A gateway that is cut off, one way or both, for however long, on and off, claims no confirmation since then, and what it
+/// names of registers, lists and duties is never beyond what stands.
+#[test]
+fn who_is_cut_off_claims_nothing_since() {
+    for (seed, (out, into)) in [(true, true), (true, false), (false, true)].into_iter().enumerate() {
+        for length in [1.0, 5.0, 60.0] {
+            let (mut roads, mut term) = (six(seed as u64), 10);
+            for _ in 0..3 {
+                roads.cut_off(6, out, into);
+                // What is on its way when it begins may still be answered.
+                hailed(&mut roads, 0.1, 0, |_| {});
+                let began = roads.now;
+                roads.evacuate(1, 10 + (roads.now * 100.0) as u64, roads.now % 2.0 < 1.0);
+                // Both take themselves for the lookout, each in its term.
+                term += 1;
+                let list = |term, version| Hosts { term, version, lines: Vec::new() };
+                roads.step(6, |control, now| control.list(now, list(term, 9)));
+                roads.step(1, |control, now| control.list(now, list(term + 1, 1)));
+                hailed(&mut roads, length, 0, |roads| {
+                    let (theirs, other) = (beat(roads, 6), beat(roads, 1));
+                    let age = theirs.confirmed.expect("confirmed before");
+                    assert!(age >= roads.now - began, "confirmed {age} s ago");
+                    assert!(theirs.vector.chart <= other.vector.chart);
+                    assert!(theirs.vector.evacuations <= other.vector.evacuations);
+                    for post in &theirs.posts {
+                        let known = (1..6).flat_map(|node| beat(roads, node).posts);
+                        let newest = known.filter(|p| p.duty == post.duty).map(|p| p.term).max();
+                        assert!(newest.is_none_or(|term| term >= post.term), "{post:?}, not {newest:?}");
+                    }
+                });
+                roads.cut.clear();
+                hailed(&mut roads, 1.5, 0, |_| {});
+                assert!(beat(&roads, 6).confirmed.is_some_and(|age| age < 1.0));
+                let (theirs, other) = (beat(&roads, 6).vector, beat(&roads, 1).vector);
+                assert_eq!((theirs.evacuations, theirs.hosts), (other.evacuations, (term + 1, 1)));
+            }
+        }
+    }
+}
+
+/// What a gateway's own disk holds is one voter's word: after a start it gives nothing of it out, also where no majority
+/// answers for long; what another one that is cut off tells is passed on, and not for confirmed.
+#[test]
+fn who_started_without_a_majority_gives_out_nothing_of_its_disk() {
+    let mut roads = six(1);
+    (1..=2).for_each(|node| roads.cut_off(node, true, true));
+    // 1 and 2 hear each other, and no majority of 1, 2, 3.
+    roads.kill(3);
+    roads.kill(1);
+    roads.cut.remove(&(2, 1));
+    roads.cut.remove(&(1, 2));
+    roads.cut.insert((2, 1));
+    roads.start(1);
+    hailed(&mut roads, 8.0, 0, |roads| {
+        let control = &roads.live[&1];
+        assert_eq!(beat(roads, 1).confirmed, None);
+        let pieces = control.lacking(roads.now, &Vector::default(), false);
+        let given = pieces.iter().any(|p| matches!(p, Piece::Chosen(..) | Piece::Pilots(_)));
+        assert!(!given, "{pieces:?}");
+    });
+    // Now it hears of them from 2, which had learned them, and may be behind by now.
+    let told = roads.live[&2].lacking(roads.now, &Vector::default(), true);
+    assert!(told.iter().any(|p| matches!(p, Piece::Chosen(Register::Chart, _))));
+    roads.step(1, |control, now| control.take(now, told));
+    assert_eq!((roads.stamp(1, Register::Chart), beat(&roads, 1).confirmed), (8, None));
+}
+
+/// Guards against a gateway that vouches for the configuration before it knows which zones are evacuated.
+#[test]
+fn who_started_vouches_for_nothing_before_it_knows_all_registers() {
+    for seed in 0..40 {
+        let mut roads = six(seed);
+        let stands = beat(&roads, 1).vector;
+        roads.kill(6);
+        roads.start(6);
+        roads.lossy = 0.6;
+        hailed(&mut roads, 2.0, 0, |roads| {
+            let told = beat(roads, 6);
+            let all = told.vector.chart == stands.chart && told.vector.evacuations == stands.evacuations;
+            assert!(all || told.confirmed.is_none(), "seed {seed}: {:?}", told.vector);
+        });
+    }
+}
+
+/// Guards against shares that are too large after a cut: a gateway that was cut off, from all or from one other alone, for
+/// longer than lost data gateways are counted, told of fewer than there are; so did one that started while it was cut off.
+#[test]
+fn whoever_tells_how_many_data_gateways_there_are_tells_of_all() {
+    let all = |least: usize| {
+        move |roads: &Roads| {
+            for (node, control) in &roads.live {
+                if control.vector(roads.now).pilots != 0 {
+                    let count = control.journal.roster.counted().len();
+                    assert!(
+                        count >= least,
+                        "{node} tells of {count} at {} {:?}",
+                        roads.now,
+                        control.journal.roster.counted()
+                    );
+                }
+            }
+        }
+    };
+    // From one other alone, both in contact with a majority.
+    let mut roads = six(1);
+    roads.cut.extend([(1, 6), (6, 1)]);
+    hailed(&mut roads, 100.0, 0, all(12));
+    // What comes to the other one meanwhile is heard of in a roundabout way.
+    hailed(&mut roads, 1.5, 3, all(12));
+    hailed(&mut roads, 5.0, 3, all(15));
+    assert!(roads.live[&1].vector(roads.now).pilots != 0, "1 is in contact");
+    // Where half of the control gateways are gone for good, those of the majority of voters still tell.
+    (4..=6).for_each(|node| roads.kill(node));
+    hailed(&mut roads, 5.0, 0, all(15));
+    assert!(roads.live[&1].vector(roads.now).pilots != 0);
+    // From all, through a start in the middle of it or not.
+    for restarted in [false, true] {
+        let mut roads = six(2);
+        roads.cut_off(6, true, true);
+        hailed(&mut roads, 20.0, 0, all(12));
+        if restarted {
+            roads.kill(6);
+            roads.start(6);
+        }
+        hailed(&mut roads, 40.0, 0, all(12));
+        assert_eq!(roads.live[&6].vector(roads.now).pilots, 0, "cut off it tells nobody");
+        roads.cut.clear();
+        // Their links come up anew.
+        for node in 1..6 {
+            let greeting = roads.live[&node].greeting();
+            roads.step(6, |control, now| control.hear(now, node, greeting));
+            let greeting = roads.live[&6].greeting();
+            roads.step(node, |control, now| control.hear(now, 6, greeting));
+        }
+        hailed(&mut roads, 5.0, 0, all(12));
+        let count = |node: Node| roads.live[&node].journal.roster.counted().len();
+        assert!((1..=6).all(|node| count(node) == 12 && roads.live[&node].vector(roads.now).pilots != 0));
+    }
+}
+
+/// Guards against a configuration that nobody takes after a person founded anew: its number may be lower than the one that
+/// was lost, or the same with another text.
+#[test]
+fn what_is_founded_anew_comes_after_all_before() {
+    let of = |founding: u64, round, stamp, text: &'static str| Held {
+        ballot: ballot(Muster { epoch: founding << 32, ..Muster::default() }.least_round() + round),
+        stamp,
+        value: text.into(),
+        ..Held::default()
+    };
+    let mut roads = Roads::new(1, 3, 3);
+    roads.run(0.5);
+    let hear = |roads: &mut Roads, held: Held| {
+        let mut learned = false;
+        roads.step(1, |control, now| {
+            let acts = control.take(now, vec![Piece::Chosen(Register::Chart, held)]);
+            learned = !acts.is_empty();
+            acts
+        });
+        learned
+    };
+    assert!(hear(&mut roads, of(0, 900, 9, "lost")));
+    let before = roads.live[&1].vector(roads.now);
+    for (round, stamp, text, news) in
+        [(1, 8, "older", true), (2, 9, "another", true), (3, 9, "another", false)]
+    {
+        assert_eq!(hear(&mut roads, of(1, round, stamp, text)), news, "{text}");
+        let held = roads.live[&1].helm.chosen(Register::Chart).expect("held");
+        assert_eq!((held.stamp, held.value.as_ref()), (stamp, text.as_bytes()));
+        assert!(roads.live[&1].vector(roads.now).chart > before.chart);
+    }
+    let lacking = roads.live[&1].lacking(roads.now, &before, false);
+    assert!(lacking.iter().any(|piece| matches!(piece, Piece::Chosen(Register::Chart, _))));
+    let mine = roads.live[&1].vector(roads.now);
+    let lacking = roads.live[&1].lacking(roads.now, &mine, false);
+    assert!(!lacking.iter().any(|piece| matches!(piece, Piece::Chosen(..))), "once is enough");
+}
--- a/harbourmaster/src/lib.rs
+++ b/harbourmaster/src/lib.rs
@@ -2,20 +2,32 @@
 //! end. Must never take part in a decision.
 #![forbid(unsafe_code)]
 
+mod backlog;
+mod callers;
+mod calls;
 pub mod desk;
 mod links;
 mod lookout;
+mod looks;
+#[cfg(test)]
+mod made_up;
+mod notices;
 mod office;
+mod orders;
 mod port;
+mod salvage;
+#[cfg(test)]
+mod tests;
+mod voters;
 
+use backlog::Disk;
 use chart::Settings;
 use error_stack::{Report, ResultExt};
 use harbour::control::{Control, Start};
-use harbour::founding::needed;
-use logbook::{Logbook, LogbookError};
+use logbook::{Entered, Logbook, LogbookError};
 use mooring::Clock;
 use port::Port;
-use signal::Keeper;
+use signal::{Keeper, Muster};
 use std::fmt;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
@@ -42,8 +54,10 @@
     Start,
     /// A command's file can't be read, or is no configuration.
     File,
-    /// No control gateway was reached, or it refused.
+    /// No control gateway was reached, or none answered for good.
     Call,
+    /// An order is refused because something else stands.
+    Refused,
 }
 
 impl fmt::Display for MasterError {
@@ -54,6 +68,7 @@
             MasterError::Start => "the control gateway can't start",
             MasterError::File => "the file can't be used",
             MasterError::Call => "the call did not come through",
+            MasterError::Refused => "the order is refused",
         })
     }
 }
@@ -104,8 +119,19 @@
         Some(folder) => open_patiently(folder).map(|(book, state)| (Some(book), state))?,
         None => (None, logbook::State::default()),
     };
-    let remembers = !state.voters.is_empty();
-    if !remembers && !settings.first_start {
+    let mut muster = state.muster;
+    let remembers = muster.known();
+    if !remembers && settings.first_start {
+        // The seeds are the same three everywhere at the very first start, and only then. They are on the disk before a word
+        // is said: a first start that dies halfway goes on where it was.
+        muster = Muster::first(&seeds);
+        if let Some(logbook) = &logbook {
+            let (told, kept) = std::sync::mpsc::channel();
+            let entered = Entered { muster: Some(muster.clone()), ..Entered::default() };
+            logbook.enter(entered, move || told.send(()).unwrap_or_default());
+            kept.recv().change_context(MasterError::Disk)?;
+        }
+    } else if !remembers {
         log::warn!("the disk is empty: silent as a voter until a majority has told what it holds");
     }
     let start = Start {
@@ -115,10 +141,10 @@
             region: settings.region.clone(),
             control: SocketAddrV4::new(settings.ip, control.port()),
         },
-        voters: state.voters,
-        // The seeds are the same three everywhere at the very first start, and only then.
-        founding: (settings.first_start && !remembers).then(|| (seeds, needed(settings.losses))),
-        slots: (remembers || settings.first_start).then_some(state.slots),
+        slots: muster.known().then_some(state.slots),
+        muster,
+        // A majority is left of so many when as many as `Tolerance` names are lost at once.
+        needed: 2 * settings.losses as usize + 1,
         posts: state.posts.into_values().collect(),
         seed: mooring::chance(),
     };
@@ -135,7 +161,8 @@
         bind(settings.directory, "Listen.Directory").await?,
     ];
     let inner = bind(Some(SocketAddrV4::new(settings.ip, settings.port).into()), "InternalPorts").await?;
-    let port = Port::new(settings, clock, control, logbook, kept);
+    let disk = logbook.map(|logbook| Box::new(logbook) as Box<dyn Disk>);
+    let port = Port::new(settings, clock, control, disk, kept);
     let on_disk = port.clone();
     spawn_local(async move {
         while let Some(then) = words.recv().await {
@@ -151,7 +178,7 @@
     let ticked = port.clone();
     spawn_local(async move {
         loop {
-            ticked.step(|control, now| control.tick(now));
+            ticked.tick();
             sleep(TICK).await;
         }
     });
