Data gateways call control gateways that all failed lately in turn, the first to fail first

Ruled out: the core (the configuration was chosen and spread in 0.1 s), and leaving sooner (2.5 s is what slow disks need).

Change: of those that failed lately the first to fail is called first. Test: where_all_failed_lately_each_is_called_in_its_turn.

--- a/bridge/src/session.rs
+++ b/bridge/src/session.rs
@@ -4,6 +4,7 @@
 
 use crate::views::{Event, Turn, Views};
 use signal::{Node, Pilot, Word};
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
 /// Between two signs of life.
@@ -96,10 +97,14 @@
                 all.push((node, UNPLACED));
             }
         }
-        let shunned = |node: &Node| self.failed.get(node).is_some_and(|at| now < *at + SHUN);
+        // Of several that failed the one that did so first is tried again first: the nearest one would be called again and again,
+        // and one that is cut off names no other control gateway, so that it is the nearest.
+        let since = |node: &Node| self.failed.get(node).filter(|at| now < **at + SHUN).copied();
         // Among equals each data gateway has an order of its own, so that they don't all call the same one.
         let own = |node: &Node| (node ^ self.place.node).wrapping_mul(0x9e37_79b9);
-        all.sort_by_key(|(node, far)| (shunned(node), *far, own(node)));
+        let first = |a: &Node, b: &Node| since(a).partial_cmp(&since(b)).unwrap_or(Ordering::Equal);
+        all.sort_by_key(|(node, far)| (*far, own(node)));
+        all.sort_by(|(a, _), (b, _)| first(a, b));
         all
     }
 
--- a/bridge/tests/contact.rs
+++ b/bridge/tests/contact.rs
@@ -3,9 +3,10 @@
 
 mod sea;
 
+use bridge::session::{Act, Place, Session};
 use bridge::views::{Event, Turn, Views};
 use sea::{LEASE, Sea, configuration};
-use signal::{Beat, Duty, Held, Hosts, Muster, Node, Piece, Post, Register, Vector, pack};
+use signal::{Beat, Duty, Held, Hosts, Keeper, Muster, Node, Piece, Post, Register, Vector, pack};
 use std::collections::BTreeSet;
 
 const SHIPS: usize = 24;
@@ -244,3 +245,25 @@
     sea.run(8.0);
     assert!(sea.ships[&ship].views.vouched(sea.now), "it is with {:?}", sea.ships[&ship].session.with());
 }
+
+/// Guards against a data gateway that calls a cut-off control gateway again and again: where all have failed lately, the nearest
+/// came first, and one that is cut off names itself alone, so that it is the only one whose place is known.
+#[test]
+fn where_all_failed_lately_each_is_called_in_its_turn() {
+    let mut views = Views::new(4.0);
+    let control = std::net::SocketAddrV4::new(2.into(), 80);
+    let keeper = Keeper { node: 2, zone: "z".into(), region: "r".into(), control };
+    views.append(0.0, Event::Told(Piece::Keepers(vec![keeper])));
+    let place = Place { node: 9, zone: "z".into(), region: "r".into(), seeds: vec![1, 2, 3, 4] };
+    let (mut session, mut called) = (Session::new(place), Vec::new());
+    for n in 0..60 {
+        let now = f64::from(n) * 0.05;
+        let pilot = || unreachable!("nobody answers");
+        if let Some(Act::Call(node)) = session.tick(now, &views, pilot).pop() {
+            called.push(node);
+            session.called(now, Err("refused".into()));
+        }
+    }
+    assert!(called.len() > 12 && called[0] == 2, "{called:?}");
+    assert!(called.windows(4).all(|four| (1..=4).all(|node| four.contains(&node))), "{called:?}");
+}
