Silent voters' seats pass on within a third of CatchUp, and leavers hand theirs over

Change: durations of the voter set come from CatchUp (harbour/src/pace.rs); a failure detector that counts silence only while a majority is heard (presence.rs), and voters that are heard but whose disk answers nothing; which set should stand is planned by itself (membership/plan.rs): lost seats go to spares or newcomers, a newcomer that falls silent is left out at once. SIGTERM: a voter asks for its seat to be taken and ends once the others that are there know of the new set, within 0.6 of Grace. One voter ends a change, others only after three quarters of CatchUp: two at once cost each other ballots. The wait for grants runs from the first settled register. Words of an attempt are asked for again under the same ballot rather than begun anew, so that a change comes through disks at 0.2 s a sync.

Ruled out: all control machines with seats (an even set bears no more), seats without a majority's word on the silence (one way cut), a shorter silence of emptied voters (answers of 2.4 s ago are put together). Tried and dropped: halves of an attempt that get longer each time (an order at a start then missed its majority), the author of a change ends it (it is not known alike everywhere).

--- a/bridge/tests/sea/mod.rs
+++ b/bridge/tests/sea/mod.rs
@@ -89,6 +89,7 @@
             keeper,
             muster: Muster::first(&[1, 2, 3]),
             needed: 5,
+            catch_up: 1000.0,
             slots: Some(self.disks.get(&node).cloned().unwrap_or_default()),
             posts: Vec::new(),
             seed: self.chance.rand_u64(),
--- a/chart/src/settings.rs
+++ b/chart/src/settings.rs
@@ -65,6 +65,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     pub ack: f64,
+    pub catch_up: f64,
     pub drain: f64,
     pub grace: f64,
     pub config_apply: f64,
@@ -188,6 +189,7 @@
     };
     Ok(Bounds {
         ack: time("Ack")?,
+        catch_up: time("CatchUp")?,
         drain: time("Drain")?,
         grace: time("Grace")?,
         config_apply: time("ConfigApply")?,
--- a/harbour/src/control.rs
+++ b/harbour/src/control.rs
@@ -1,23 +1,24 @@
 //! The whole life of one control gateway, free of I/O: messages, ticks and disk results in, acts out. Owns how the parts
 //! stand to each other: the voter's disk comes before its word, what is chosen spreads by beats and pulls, sessions make
-//! members. Must never read a clock or touch a socket: `harbourmaster` does that.
+//! members. What is said of it to others is in `gossip`, and to people in `look`. Must never read a clock or touch a socket:
+//! `harbourmaster` does that.
+
+mod gossip;
+mod look;
+
+pub use look::{Member, Voters};
 
-use crate::crew::{Crew, Ended, OWN_TOKENS, Sight};
 use crate::duties::{Duties, Term};
 use crate::helm::{Change, Helm};
 use crate::journal::{Event, Journal};
+use crate::membership::{Membership, OWN_TOKENS, View};
+use crate::pace::{HEARTBEAT, Pace};
 use crate::roster::Roster;
 use crate::voter::Voter;
 use crate::{Act, Outcome, Record, Refusal, Reseat};
-use signal::{
-    Ballot, Beat, Duty, Held, Hosts, Keeper, Muster, Node, Piece, Poll, Post, REGISTERS, Register, Slot,
-    Vector, Word,
-};
+use signal::{Ballot, Duty, Held, Hosts, Keeper, Muster, Node, Poll, Post, REGISTERS, Register, Slot, Word};
 use std::collections::BTreeMap;
 
-/// Between two signs of life to the other control gateways.
-const BEAT_EVERY: f64 = 0.3;
-
 /// Without a majority's answer for longer than this, what is known of other gateways' sessions is not passed on.
 const CONTACT: f64 = 2.0;
 
@@ -31,6 +32,8 @@
     pub muster: Muster,
     /// So many seats are needed for what may be lost at once.
     pub needed: usize,
+    /// `CatchUp`, in seconds: so long after a lost machine's return or its successor's start the next loss may come.
+    pub catch_up: f64,
     /// Slots from the disk; none where the disk is empty though this is not the first start.
     pub slots: Option<BTreeMap<Register, Slot>>,
     /// Duties that it granted last, from the disk.
@@ -41,7 +44,7 @@
 pub struct Control {
     me: Node,
     muster: Muster,
-    crew: Crew,
+    membership: Membership,
     pub voter: Voter,
     pub helm: Helm,
     pub duties: Duties,
@@ -50,55 +53,28 @@
     /// The fleet's clock is the own steady one and this.
     ahead: f64,
     beat_at: f64,
+    /// What the last heartbeats said: is this voter whole, and whom does this gateway miss?
+    repair_told: (bool, Vec<Node>),
     began: f64,
     chance: oorandom::Rand64,
 }
 
-/// One control gateway as another one sees it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Member {
-    pub node: Node,
-    /// None of one that nobody has met.
-    pub zone: Option<String>,
-    /// It has a seat; it is to have one once the change that is under way ends.
-    pub seat: bool,
-    pub comes: bool,
-    /// Seconds since a word of it came; none where none ever did.
-    pub heard: Option<f64>,
-    /// Does its disk hold all that it ever promised? None where it didn't say.
-    pub whole: Option<bool>,
-}
-
-/// Who votes, as one control gateway sees it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Voters {
-    pub muster: Muster,
-    /// False while a first start still takes others in: no order is taken.
-    pub founded: bool,
-    /// All control gateways that have a seat, are to have one, or could.
-    pub members: Vec<Member>,
-    /// What this gateway's own disk holds of each register: stamp and ballot. Of several survivors the one with the greatest
-    /// ballots is the newest.
-    pub holds: Vec<(Register, u64, Ballot)>,
-    /// How the last change ended, and how many seconds ago.
-    pub last: Option<(f64, Ended)>,
-}
-
 impl Control {
     pub fn new(now: f64, start: Start) -> Control {
-        let Start { keeper, muster, needed, slots, posts, seed } = start;
+        let Start { keeper, muster, needed, catch_up, slots, posts, seed } = start;
         let me = keeper.node;
         let mut chance = oorandom::Rand64::new(u128::from(seed.rotate_left(7)));
         let mut control = Control {
             me,
             muster: Muster::default(),
-            crew: Crew::new(now, me, needed),
+            membership: Membership::new(now, me, needed, Pace::within(catch_up)),
             voter: Voter::new(now, me, slots),
             helm: Helm::new(me, seed),
             duties: Duties::new(now, me, !seed, &posts),
             journal: Journal::new(Roster::new(keeper, seed)),
             ahead: 0.0,
             beat_at: f64::NEG_INFINITY,
+            repair_told: (false, Vec::new()),
             began: now,
             chance: oorandom::Rand64::new(u128::from(chance.rand_u64())),
         };
@@ -117,18 +93,18 @@
         self.duties.set_muster(muster);
         let mut acts = self.keep_muster();
         acts.extend(self.helm.set_muster(now, muster));
-        acts.extend(self.crew.stand(now, muster));
+        acts.extend(self.membership.stand(now, muster));
         acts
     }
 
-    /// What follows from the acts of a part: orders of the crew end with the crew, and a set that was chosen stands.
+    /// What follows from the acts of a part: the membership's own orders end with it, and a set that was chosen stands.
     fn follow(&mut self, now: f64, acts: Vec<Act>) -> Vec<Act> {
         let mut rest = Vec::new();
         for act in acts {
             match act {
                 Act::Done(token, outcome) if token >= OWN_TOKENS => {
-                    // An order of the crew is about one register; the greatest ballot of all would do as well.
-                    self.crew.done(now, token, outcome, |r| self.helm.chosen(r).map(|h| h.ballot));
+                    // Its order is about one register; the greatest ballot of all would do as well.
+                    self.membership.done(now, token, outcome, |r| self.helm.chosen(r).map(|h| h.ballot));
                 }
                 other => rest.push(other),
             }
@@ -142,10 +118,10 @@
     }
 
     /// Steers the change of voters.
-    fn tick_crew(&mut self, now: f64) -> Vec<Act> {
+    fn tick_membership(&mut self, now: f64) -> Vec<Act> {
         let keepers = self.journal.roster.keepers();
         let old = |r: &Register| self.helm.chosen(*r).is_some_and(|held| !self.stands(held));
-        let sight = Sight {
+        let view = View {
             keepers: &keepers,
             confirmed: self.helm.confirmed(Register::Muster),
             all: REGISTERS.iter().try_fold(f64::INFINITY, |all, r| Some(self.helm.confirmed(*r)?.min(all))),
@@ -153,9 +129,9 @@
             whole: self.voter.whole(),
             duties: !self.duties.posts(now).is_empty() || !self.duties.granted_posts().is_empty(),
         };
-        let (mut acts, changes) = self.crew.tick(now, &sight);
+        let (mut acts, changes) = self.membership.tick(now, &view);
         for (token, change) in changes {
-            let proposed = self.helm.propose(now, change, token);
+            let proposed = self.helm.propose_own(now, change, token);
             acts.extend(self.follow(now, proposed));
         }
         acts
@@ -181,19 +157,19 @@
         &self.muster
     }
 
-    /// An order about who votes; ends as `Act::Done` under `token`, which is below `crew::OWN_TOKENS`. A replacement that ends
+    /// An order about who votes; ends as `Act::Done` under `token`, which is below `membership::OWN_TOKENS`. A replacement that ends
     /// as unclear goes on: sent again, the order waits for the same change, or is told that it has come.
     pub fn reseat(&mut self, now: f64, order: Reseat, token: u64) -> Vec<Act> {
         match order {
             Reseat::Replace { old, new } => {
-                let ended = self.crew.replace(now, token, old, new);
+                let ended = self.membership.replace(now, token, old, new);
                 let mut acts: Vec<Act> = ended.into_iter().map(|outcome| Act::Done(token, outcome)).collect();
-                acts.extend(self.tick_crew(now));
+                acts.extend(self.tick_membership(now));
                 acts
             }
             Reseat::Refound { epoch, seats } => match self.refound(now, epoch, &seats) {
                 Ok(acts) => {
-                    self.crew.found(now, token, seats);
+                    self.membership.found(now, token, seats);
                     acts
                 }
                 Err(refusal) => vec![Act::Done(token, Outcome::Refused(refusal))],
@@ -223,30 +199,6 @@
         Ok(acts)
     }
 
-    /// Who votes, for people to look at.
-    pub fn voters(&self, now: f64) -> Voters {
-        let keepers = self.journal.roster.keepers();
-        let mut nodes: Vec<Node> = keepers.iter().map(|k| k.node).chain(self.muster.voters()).collect();
-        nodes.sort_unstable();
-        nodes.dedup();
-        let member = |node: Node| Member {
-            node,
-            zone: keepers.iter().find(|k| k.node == node).map(|k| k.zone.clone()),
-            seat: self.muster.seats.contains(&node),
-            comes: self.muster.coming.contains(&node),
-            heard: self.crew.watch.silent(now, node),
-            whole: self.crew.watch.whole(node),
-        };
-        let slots = self.voter.slots().into_iter();
-        Voters {
-            muster: self.muster.clone(),
-            founded: self.crew.founded(),
-            members: nodes.into_iter().map(member).collect(),
-            holds: slots.filter_map(|(r, slot)| slot.held.map(|held| (r, held.stamp, held.ballot))).collect(),
-            last: self.crew.last().map(|(at, ended)| (now - at, ended.clone())),
-        }
-    }
-
     pub fn clock(&self, now: f64) -> f64 {
         now + self.ahead
     }
@@ -277,10 +229,6 @@
         self.duties.holds(now, Duty::Tally)
     }
 
-    pub fn greeting(&self) -> Word {
-        Word::Greet { keeper: self.journal.roster.keeper.clone(), muster: self.muster.clone() }
-    }
-
     /// When a majority was asked that confirmed all that data gateways are given from registers.
     fn confirmed(&self) -> Option<f64> {
         let of = |register| self.helm.confirmed(register);
@@ -294,131 +242,39 @@
             && self.confirmed().is_some_and(|at| now < at + CONTACT)
     }
 
-    pub fn vector(&self, now: f64) -> Vector {
-        let stamp = |register| self.standing(register).map_or(0, |held| held.order());
-        Vector {
-            chart: stamp(Register::Chart),
-            evacuations: stamp(Register::Evacuations),
-            hosts: (self.journal.hosts.term, self.journal.hosts.version),
-            keepers: self.journal.roster.keepers_stamp(),
-            pilots: if self.knows_pilots(now) { self.journal.roster.counted_stamp() } else { 0 },
-            sessions: self.journal.roster.vector(now),
-        }
-    }
-
-    /// A sign of life; `serial` is the hail that it answers.
-    pub fn beat(&self, now: f64, serial: u64) -> Word {
-        Word::Beat(Beat {
-            serial,
-            clock: self.clock(now),
-            confirmed: self.confirmed().map(|at| now - at),
-            vector: self.vector(now),
-            posts: self.duties.posts(now),
-            muster: self.muster.clone(),
-            whole: self.voter.whole(),
-            missing: self.crew.missing(now),
-        })
-    }
-
-    /// What somebody with that vector lacks of what is held here.
-    pub fn lacking(&self, now: f64, theirs: &Vector, sessions: bool) -> Vec<Piece> {
-        let mut pieces = Vec::new();
-        for (register, stamp) in
-            [(Register::Chart, theirs.chart), (Register::Evacuations, theirs.evacuations)]
-        {
-            pieces.extend(
-                self.standing(register)
-                    .filter(|h| h.order() > stamp)
-                    .map(|h| Piece::Chosen(register, h.clone())),
-            );
-        }
-        if (self.journal.hosts.term, self.journal.hosts.version) > theirs.hosts {
-            pieces.push(Piece::Hosts(self.journal.hosts.clone()));
-        }
-        if self.journal.roster.keepers_stamp() != theirs.keepers {
-            pieces.push(Piece::Keepers(self.journal.roster.keepers()));
-        }
-        // Data gateways hear who else there is, control gateways of sessions.
-        if !sessions && self.knows_pilots(now) && self.journal.roster.counted_stamp() != theirs.pilots {
-            pieces.push(Piece::Pilots(self.journal.roster.counted()));
-        }
-        let own = self.journal.roster.sessions();
-        if sessions && !theirs.sessions.contains(&(own.source, own.boot, own.version)) {
-            pieces.push(Piece::Sessions(own));
-        }
-        if sessions {
-            pieces.extend(self.journal.roster.relayed(now, &theirs.sessions).map(Piece::Sessions));
-        }
-        pieces
-    }
-
-    /// Does that vector, of `from`, name anything that is not held here?
-    fn lacks(&self, now: f64, from: Node, theirs: &Vector) -> bool {
-        let mine = self.vector(now);
-        let theirs_own = theirs.sessions.iter().find(|(node, _, _)| *node == from);
-        theirs.chart > mine.chart
-            || theirs.evacuations > mine.evacuations
-            || theirs.hosts > mine.hosts
-            || theirs.keepers != mine.keepers
-            || theirs_own.is_some_and(|own| !mine.sessions.contains(own))
-            || self.journal.roster.lacks(now, &theirs.sessions)
-    }
-
-    pub fn take(&mut self, now: f64, pieces: Vec<Piece>) -> Vec<Act> {
-        let mut acts = Vec::new();
-        for piece in pieces {
-            match piece {
-                Piece::Chosen(register, held) => acts.extend(self.helm.learn(register, &held)),
-                Piece::Hosts(hosts) => drop(self.journal.append(now, Event::Listed(hosts))),
-                Piece::Keepers(keepers) => {
-                    for keeper in keepers {
-                        self.journal.append(now, Event::Met(keeper));
-                    }
-                }
-                Piece::Sessions(sessions) => drop(self.journal.append(now, Event::Told(sessions))),
-                // For data gateways alone.
-                Piece::Chart { .. } | Piece::HostsPatch { .. } | Piece::Pilots(_) => {}
-            }
-        }
-        acts
-    }
-
-    /// A change of a register under a token below `crew::OWN_TOKENS`. While a first start still takes others in it is unclear
+    /// A change of a register under a token below `membership::OWN_TOKENS`. While a first start still takes others in it is unclear
     /// at once, and nothing was begun.
     pub fn propose(&mut self, now: f64, change: Change, token: u64) -> Vec<Act> {
-        if !self.crew.founded() {
+        if !self.membership.founded() {
             return vec![Act::Done(token, Outcome::Unclear)];
         }
         let acts = self.helm.propose(now, change, token);
         self.follow(now, acts)
     }
 
-    fn others(&self) -> impl Iterator<Item = Node> {
-        self.journal.roster.keepers().into_iter().map(|k| k.node).filter(|&node| node != self.me)
-    }
-
-    /// Signs of life to all other control gateways at once, as something is new here.
-    pub fn beat_all(&mut self, now: f64) -> Vec<Act> {
-        self.beat_at = now;
-        let beat = self.beat(now, 0);
-        self.others().map(|node| Act::Send(node, beat.clone())).collect()
-    }
-
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = self.voter.tick(now);
         let helm = self.helm.tick(now);
         acts.extend(self.follow(now, helm));
-        acts.extend(self.tick_crew(now));
-        if self.crew.founded() {
+        acts.extend(self.tick_membership(now));
+        if self.membership.founded() {
             acts.extend(self.duties.tick(now));
         }
         let contact = self.muster.enough(|node| self.journal.roster.hears(now, node));
-        if self.journal.append(now, Event::Passed { contact }) || now >= self.beat_at + BEAT_EVERY {
+        let ended = self.journal.append(now, Event::Passed { contact });
+        if ended || self.repair_turned(now) || now >= self.beat_at + HEARTBEAT {
             acts.extend(self.beat_all(now));
         }
         acts
     }
 
+    /// Is there news on which a change of the voters waits: who is missed, and whether this voter is whole?
+    fn repair_turned(&mut self, now: f64) -> bool {
+        let told = (self.voter.whole(), self.membership.missing(now));
+        let before = std::mem::replace(&mut self.repair_told, told);
+        before != self.repair_told
+    }
+
     /// What is said to voters and by them. An old epoch's word is answered by who votes now; a later epoch's sender is told of
     /// this one, and answers so in turn.
     fn poll(&mut self, now: f64, from: Node, epoch: u64, poll: Poll) -> Vec<Act> {
@@ -427,7 +283,9 @@
         }
         match poll {
             // Who has forgotten its grants grants nothing.
-            Poll::Bid(..) | Poll::Renew(..) if !self.voter.whole() || !self.crew.founded() => Vec::new(),
+            Poll::Bid(..) | Poll::Renew(..) if !self.voter.whole() || !self.membership.founded() => {
+                Vec::new()
+            }
             Poll::Bid(..)
             | Poll::Renew(..)
             | Poll::Kept(_)
@@ -451,7 +309,7 @@
                     // While the set changes all registers are settled anyway.
                     let read = if self.muster.changing() { Vec::new() } else { self.voter.read() };
                     for register in read {
-                        let settled = self.helm.propose(now, Change::Settle(register), OWN_TOKENS);
+                        let settled = self.helm.propose_own(now, Change::Settle(register), OWN_TOKENS);
                         acts.extend(self.follow(now, settled));
                     }
                 }
@@ -462,9 +320,12 @@
             | Poll::Refuse(..)
             | Poll::Answer(..)
             | Poll::Fetched(..) => {
+                self.membership.presence.answered(now, from);
                 match &poll {
-                    Poll::Accepted(register, ballot) => self.crew.holds(from, *register, *ballot),
-                    Poll::Answer(_, held) => held.iter().for_each(|(r, b)| self.crew.holds(from, *r, *b)),
+                    Poll::Accepted(register, ballot) => self.membership.holds(from, *register, *ballot),
+                    Poll::Answer(_, held) => {
+                        held.iter().for_each(|(r, b)| self.membership.holds(from, *r, *b))
+                    }
                     _ => {}
                 }
                 let acts = self.helm.hear(now, from, &poll);
@@ -478,7 +339,7 @@
 
     /// A word of another control gateway, or of this one to itself.
     pub fn hear(&mut self, now: f64, from: Node, word: Word) -> Vec<Act> {
-        self.crew.watch.heard(now, from);
+        self.membership.presence.heard(now, from);
         match word {
             Word::Greet { keeper, muster } => {
                 self.voter.greeted(from);
@@ -488,7 +349,7 @@
             }
             Word::Beat(beat) => {
                 self.heard_clock(now, beat.clock);
-                self.crew.watch.told(from, beat.whole, &beat.missing);
+                self.membership.presence.told(from, beat.whole, beat.muster.epoch, &beat.missing);
                 let mut acts = self.stand(now, &beat.muster);
                 let hears = beat.vector.sessions.iter().map(|(source, _, _)| *source).collect();
                 self.journal.append(now, Event::Heard(from, hears));
@@ -512,11 +373,22 @@
         }
     }
 
-    /// Leaves the duties to the nearest other control gateway that was heard of.
+    /// This gateway is told to end: it leaves its duties to the nearest other voter that is there, and asks for its seat to be
+    /// given to another gateway. It goes on as before until `may_end`.
     pub fn leave(&mut self, now: f64) -> Vec<Act> {
+        self.membership.leave();
+        let presence = &self.membership.presence;
+        let stays = |node: Node| self.muster.votes(node) && presence.here(now, node) && !presence.ends(node);
         let mut others = self.journal.roster.keepers();
-        others.retain(|k| k.node != self.me && self.muster.votes(k.node));
-        others.sort_by_key(|k| (k.region != self.journal.roster.keeper.region, k.node));
-        self.duties.leave(now, others.first().map(|k| k.node))
+        others.retain(|keeper| keeper.node != self.me && stays(keeper.node));
+        others.sort_by_key(|keeper| (keeper.region != self.journal.roster.keeper.region, keeper.node));
+        let mut acts = self.duties.leave(now, others.first().map(|keeper| keeper.node));
+        acts.extend(self.beat_all(now));
+        acts
+    }
+
+    /// May a gateway that was told to end do so, as far as its seat goes?
+    pub fn may_end(&self, now: f64) -> bool {
+        self.membership.may_end(now)
     }
 }
--- a/harbour/src/helm.rs
+++ b/harbour/src/helm.rs
@@ -16,9 +16,11 @@
 
 /// How long a change is tried: callers move on after a second of silence.
 pub const LIFE: f64 = 0.9;
-/// Half an attempt, promises or acceptances, that has not come through by then is begun anew: a round trip of the widest
-/// pair of regions and a sync of 0.3 s fit in, and both halves into `LIFE`.
-const ATTEMPT: f64 = 0.35;
+/// The same of this gateway's own changes, for which no caller waits: an emptied voter is silent for longer (`voter::FORGET`).
+const OWN_LIFE: f64 = 1.9;
+/// Voters that have not answered by then are asked again under the same ballot: the word may be lost, and where it is the
+/// disk that is slow, the answer to the first one counts.
+const ASK_AGAIN: f64 = 0.35;
 /// Changes waiting for their turn on one register; a further one is refused at once.
 const MOST_WAITING: usize = 64;
 
@@ -46,6 +48,8 @@
     ballot: Ballot,
     began: f64,
     phase: Phase,
+    /// How often another attempt came in between.
+    refused: u32,
     /// Its caller is gone: what was sent out may come to be, but nothing is tried again.
     last: bool,
 }
@@ -105,6 +109,11 @@
         self.wish(now, Wish { change, token: Some(token), until: now + LIFE })
     }
 
+    /// The same of a change of this gateway's own, which has longer.
+    pub fn propose_own(&mut self, now: f64, change: Change, token: u64) -> Vec<Act> {
+        self.wish(now, Wish { change, token: Some(token), until: now + OWN_LIFE })
+    }
+
     /// The caller is gone: what no voter was asked to accept yet is dropped, and nothing is tried anew, so that it can't
     /// undo what comes after it.
     pub fn withdraw(&mut self, token: u64) {
@@ -146,8 +155,10 @@
                 continue;
             }
             let phase = Phase::Waiting { from: now };
-            self.work
-                .insert(register, Work { wish, ballot: Ballot::default(), began: now, phase, last: false });
+            self.work.insert(
+                register,
+                Work { wish, ballot: Ballot::default(), began: now, phase, refused: 0, last: false },
+            );
             acts.extend(self.prepare(now, register));
             break;
         }
@@ -168,6 +179,27 @@
         self.to_all(prepare)
     }
 
+    /// Asks those again that have not answered the half that is under way. Where the caller is gone nothing is.
+    fn ask_again(&mut self, now: f64, register: Register) -> Vec<Act> {
+        let Some(work) = self.work.get_mut(&register) else { return Vec::new() };
+        if work.last {
+            return self.end(now, register, Outcome::Unclear);
+        }
+        work.began = now;
+        let (poll, answered): (Poll, Vec<Node>) = match &work.phase {
+            Phase::Waiting { .. } => return Vec::new(),
+            Phase::Preparing(promises) => {
+                (Poll::Prepare(register, work.ballot), promises.keys().copied().collect())
+            }
+            Phase::Accepting(held, _, yes) => {
+                (Poll::Accept(register, held.clone()), yes.iter().copied().collect())
+            }
+        };
+        let word = self.muster.say(poll);
+        let silent = self.muster.voters().into_iter().filter(|node| !answered.contains(node));
+        silent.map(|node| Act::Send(node, word.clone())).collect()
+    }
+
     fn end(&mut self, now: f64, register: Register, outcome: Outcome) -> Vec<Act> {
         let Some(work) = self.work.remove(&register) else { return Vec::new() };
         let mut acts: Vec<Act> = work.wish.token.map(|token| Act::Done(token, outcome)).into_iter().collect();
@@ -203,10 +235,14 @@
             Poll::Refuse(register, ballot, promised) => {
                 self.round = self.round.max(promised.round);
                 if let Some(work) = self.work.get_mut(register).filter(|work| work.ballot == *ballot) {
-                    // Somebody else is at it: a wait by chance lets one of the two come through.
+                    // Somebody else is at it: a wait by chance, longer each time, lets one of the two come through also where
+                    // disks are slow.
                     const LEAST: f64 = 0.01;
                     const MORE: f64 = 0.12;
-                    work.phase = Phase::Waiting { from: now + LEAST + MORE * self.chance.rand_float() };
+                    const MOST_DOUBLED: u32 = 2;
+                    let more = MORE * f64::from(1_u32 << work.refused.min(MOST_DOUBLED));
+                    work.refused += 1;
+                    work.phase = Phase::Waiting { from: now + LEAST + more * self.chance.rand_float() };
                     work.ballot = Ballot::default();
                 }
                 Vec::new()
@@ -284,7 +320,7 @@
         acts
     }
 
-    /// Attempts that hang are begun anew, changes whose time is up end, and the question is asked again.
+    /// Attempts that hang are asked for again, changes whose time is up end, and the question is asked again.
     pub fn tick(&mut self, now: f64) -> Vec<Act> {
         let mut acts = Vec::new();
         let busy: Vec<Register> = self.work.keys().chain(self.waiting.keys()).copied().collect();
@@ -293,13 +329,12 @@
                 acts.extend(self.next(now, register));
                 continue;
             };
-            if now > work.wish.until {
-                acts.extend(self.end(now, register, Outcome::Unclear));
-            } else if match work.phase {
-                Phase::Waiting { from } => now >= from,
-                _ => now > work.began + ATTEMPT,
-            } {
-                acts.extend(self.prepare(now, register));
+            match work.phase {
+                _ if now > work.wish.until => acts.extend(self.end(now, register, Outcome::Unclear)),
+                Phase::Waiting { from } if now >= from => acts.extend(self.prepare(now, register)),
+                Phase::Waiting { .. } => {}
+                _ if now > work.began + ASK_AGAIN => acts.extend(self.ask_again(now, register)),
+                _ => {}
             }
         }
         acts.extend(self.ask(now));
--- a/harbour/src/lib.rs
+++ b/harbour/src/lib.rs
@@ -4,15 +4,16 @@
 #![forbid(unsafe_code)]
 
 pub mod control;
-pub mod crew;
 pub mod duties;
 pub mod helm;
 pub mod journal;
+pub mod membership;
 pub mod news;
+pub mod pace;
+pub mod presence;
 pub mod roster;
 mod texts;
 pub mod voter;
-pub mod watch;
 
 use signal::{Mark, Muster, Node, Post, Register, Slot, Word};
 
--- /dev/null
+++ b/harbour/src/membership/plan.rs
@@ -0,0 +1,98 @@
+//! Which set of voters should stand: as many seats as the losses to be borne need, none of them lost, from as many zones as
+//! can be. Must never ask for a set in which a majority is not there.
+
+use super::{MOST_HEARD, Membership, NAMED_WAIT};
+use signal::{Keeper, Node};
+use std::collections::BTreeSet;
+
+/// A newcomer that failed to take all registers is the last choice for so long, in seconds.
+const FAILED_LATELY: f64 = 30.0;
+
+fn zone(keepers: &[Keeper], node: Node) -> Option<&str> {
+    keepers.iter().find(|keeper| keeper.node == node).map(|keeper| keeper.zone.as_str())
+}
+
+fn zones(keepers: &[Keeper], set: &[Node]) -> usize {
+    set.iter().map(|&node| zone(keepers, node)).collect::<BTreeSet<_>>().len()
+}
+
+/// `set` and others, the first of them where zones don't tell, from as many zones as can be, up to `most`.
+fn filled(set: &[Node], others: &[Node], keepers: &[Keeper], most: usize) -> Vec<Node> {
+    let mut set = set.to_vec();
+    while set.len() < most {
+        let crowd =
+            |node: Node| set.iter().filter(|&&seat| zone(keepers, seat) == zone(keepers, node)).count();
+        let free = others.iter().copied().filter(|node| !set.contains(node));
+        let Some(next) = free.min_by_key(|&node| crowd(node)) else { break };
+        set.push(next);
+    }
+    set.sort_unstable();
+    set
+}
+
+impl Membership {
+    /// Is there a majority of both sets, whole but for those that come?
+    pub(super) fn can_change(&self, now: f64, next: &[Node]) -> bool {
+        let joint = self.muster.begin(next.to_vec());
+        let comes = |node| !self.muster.seats.contains(&node) && self.presence.here(now, node);
+        joint.enough(|node| comes(node) || self.presence.sound(now, node))
+    }
+
+    /// The seats and more of `others`, where more losses can be borne then.
+    pub(super) fn grown(&self, others: &[Node], keepers: &[Keeper]) -> Option<Vec<Node>> {
+        let seats = &self.muster.seats;
+        let most = self.needed.min(seats.len() + others.len());
+        let odd = most - usize::from(most.is_multiple_of(2));
+        (odd > seats.len()).then(|| filled(seats, others, keepers, odd))
+    }
+
+    /// The set that should be, where that is another one than stands and can be had; `lost` are seats to be given to others.
+    pub(super) fn plan(&self, now: f64, lost: &[Node], keepers: &[Keeper]) -> Option<Vec<Node>> {
+        if !self.named.is_empty() {
+            return self.with_named(now, keepers);
+        }
+        let mut spares = self.presence.spares(now, &self.muster);
+        spares.sort_by_key(|node| self.failed.get(node).is_some_and(|at| now < at + FAILED_LATELY));
+        let seats = &self.muster.seats;
+        let set = if lost.is_empty() {
+            self.grown(&spares, keepers).or_else(|| self.spread(now, &spares, keepers))
+        } else {
+            // A seat that nobody takes stays: fewer would bear no more.
+            let left: Vec<Node> = seats.iter().copied().filter(|node| !lost.contains(node)).collect();
+            Some(filled(&filled(&left, &spares, keepers, seats.len()), lost, keepers, seats.len()))
+        };
+        set.filter(|set| set != seats && self.can_change(now, set))
+    }
+
+    /// All seats, and those that a person named and that are there.
+    fn with_named(&self, now: f64, keepers: &[Keeper]) -> Option<Vec<Node>> {
+        let seats = &self.muster.seats;
+        let there: Vec<Node> =
+            self.named.iter().copied().filter(|&node| self.presence.here(now, node)).collect();
+        let waited = there.len() == self.named.len() || now > self.named_at + NAMED_WAIT;
+        let all = filled(seats, &there, keepers, seats.len() + there.len());
+        Some(all).filter(|all| waited && all.len() > seats.len() && self.can_change(now, all))
+    }
+
+    /// One seat of a zone with several goes to a steady spare of a zone with none: the loss of a zone costs fewer seats.
+    fn spread(&self, now: f64, spares: &[Node], keepers: &[Keeper]) -> Option<Vec<Node>> {
+        let seats = &self.muster.seats;
+        let steady: Vec<Node> =
+            spares.iter().copied().filter(|&node| self.presence.steady(now, node)).collect();
+        let swapped = seats.iter().rev().map(|old| {
+            let left: Vec<Node> = seats.iter().copied().filter(|node| node != old).collect();
+            filled(&left, &steady, keepers, seats.len())
+        });
+        let better =
+            |set: &Vec<Node>| set.len() == seats.len() && zones(keepers, set) > zones(keepers, seats);
+        swapped.into_iter().find(better)
+    }
+
+    /// What `failed` needs not keep.
+    pub(super) fn forget_failures(&mut self, now: f64) {
+        self.failed.retain(|_, at| now < *at + FAILED_LATELY);
+        while self.failed.len() > MOST_HEARD {
+            self.failed.pop_first();
+        }
+    }
+}
--- a/harbour/src/voter.rs
+++ b/harbour/src/voter.rs
@@ -7,7 +7,7 @@
 use signal::{Ballot, Held, Muster, Node, Poll, REGISTERS, Register, Slot};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Longer than any attempt to write lives (`helm::LIFE`), held-up answers of its first half included: a voter that
+/// Longer than any attempt to write lives (`helm::OWN_LIFE`), by clocks that run apart by a quarter, held-up answers of its first half included: a voter that
 /// forgot a promise is back only when the attempt that it was made to is over, so that it can't be counted twice.
 const FORGET: f64 = 2.5;
 /// Who has not told by then is asked again, and then only after twice as long each time: two ways and two slow syncs fit in,
@@ -159,7 +159,12 @@
             _ if !self.votes() => Vec::new(),
             Poll::Prepare(register, ballot) => {
                 let slot = self.slots.entry(*register).or_default();
-                if *ballot <= slot.promised {
+                if *ballot == slot.promised {
+                    // Asked again: what it promised stands.
+                    let promise = Poll::Promise(*register, *ballot, slot.held.clone());
+                    return self.after_disk(from, promise);
+                }
+                if *ballot < slot.promised {
                     let refusal = Poll::Refuse(*register, *ballot, slot.promised);
                     return self.after_disk(from, refusal);
                 }
@@ -173,6 +178,10 @@
                     let refusal = Poll::Refuse(*register, held.ballot, slot.promised);
                     return self.after_disk(from, refusal);
                 }
+                if slot.held.as_ref() == Some(held) && !self.read.contains(register) {
+                    // Asked again: it is on its disk, or on its way there before this word.
+                    return self.after_disk(from, Poll::Accepted(*register, held.ballot));
+                }
                 slot.promised = held.ballot;
                 slot.held = Some(held.clone());
                 self.read.remove(register);
--- a/harbour/tests/roads/mod.rs
+++ b/harbour/tests/roads/mod.rs
@@ -84,6 +84,8 @@
         let start = Start {
             keeper: keeper(node),
             needed: self.seats.len(),
+            // No seat is given away within these tests.
+            catch_up: 1000.0,
             slots: Some(disk.slots.clone()),
             muster: disk.muster.clone(),
             posts: disk.posts.values().copied().collect(),
--- a/harbour/tests/seats.rs
+++ b/harbour/tests/seats.rs
@@ -3,9 +3,9 @@
 //! world plants the fault that the condition keeps out, and the test sees it found.
 
 use harbour::control::Control;
-use harbour::crew::Ended;
 use harbour::duties::Duties;
 use harbour::helm::{Change, Helm};
+use harbour::membership::Ended;
 use harbour::{Act, Outcome, Refusal, Reseat};
 use signal::{Ballot, Duty, Held, Muster, Node, Poll, Post, REGISTERS, Register, Word};
 use sounding::Fleet;
--- a/harbourmaster/src/lib.rs
+++ b/harbourmaster/src/lib.rs
@@ -40,8 +40,14 @@
 
 /// The core's ticks: far shorter than anything it waits for.
 const TICK: Duration = Duration::from_millis(50);
+/// `CatchUp` where the operators name none, in seconds: a lost machine's seat is given away after a third of it.
+const MOST_CATCH_UP: f64 = 60.0;
 /// After SIGTERM: time for successors to be named and answers to leave.
 const LEAVE: Duration = Duration::from_millis(500);
+/// A voter that is told to end waits for its seat to be handed over for this part of `Grace` at most.
+const HAND_OVER: f64 = 0.6;
+/// The same where the operators name no `Grace`, in seconds.
+const MOST_HAND_OVER: f64 = 5.0;
 
 /// Why the program does not start, or a command does not come through.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -145,6 +151,7 @@
         muster,
         // A majority is left of so many when as many as `Tolerance` names are lost at once.
         needed: 2 * settings.losses as usize + 1,
+        catch_up: settings.bounds.catch_up.min(MOST_CATCH_UP),
         posts: state.posts.into_values().collect(),
         seed: mooring::chance(),
     };
@@ -193,4 +200,14 @@
     port.leaving.set(true);
     port.step(|control, now| control.leave(now));
     sleep(LEAVE).await;
+    let until = port.clock.now() + (HAND_OVER * port.settings.bounds.grace).min(MOST_HAND_OVER);
+    while !port.look(harbour::control::Control::may_end) {
+        if port.clock.now() >= until {
+            log::warn!("ending with a seat: nobody has taken it in time");
+            return;
+        }
+        sleep(TICK).await;
+    }
+    // What was said last is still to leave.
+    sleep(TICK).await;
 }
--- a/harbourmaster/src/made_up.rs
+++ b/harbourmaster/src/made_up.rs
@@ -95,7 +95,15 @@
     };
     let muster = Muster::first(&NODES[..SEATS]);
     let slots = Some(Default::default());
-    let start = Start { keeper, muster, needed: SEATS, slots, posts: Vec::new(), seed: u64::from(node) };
+    let start = Start {
+        keeper,
+        muster,
+        needed: SEATS,
+        catch_up: 1000.0,
+        slots,
+        posts: Vec::new(),
+        seed: u64::from(node),
+    };
     let (kept, mut words) = mpsc::unbounded_channel::<Kept>();
     let control = Control::new(clock.now(), start);
     let port = Port::new(settings, clock, control, Some(Box::new(shelf)), kept);
--- a/harbourmaster/src/voters.rs
+++ b/harbourmaster/src/voters.rs
@@ -7,7 +7,7 @@
 use crate::port::{Order, Port};
 use fairway::plain::Answer;
 use harbour::control::Member;
-use harbour::crew::Ended;
+use harbour::membership::Ended;
 use harbour::{Outcome, Reseat};
 use serde::Deserialize;
 use serde_json::{Value, json};
--- a/sounding/src/world.rs
+++ b/sounding/src/world.rs
@@ -14,6 +14,8 @@
 const TICK: f64 = 0.05;
 /// What a link that is held up keeps; later words are lost.
 const HELD_UP: usize = 256;
+/// A `CatchUp` within which no test's seat is given away: 300 s of silence would be.
+const NEVER: f64 = 1000.0;
 /// Between two tries to bring a link up, as in the program.
 const GREET: f64 = 0.25;
 
@@ -98,6 +100,8 @@
     pub steps: u64,
     size: Node,
     needed: usize,
+    /// `CatchUp`, in seconds; far longer than any test where it is not set, so that no seat changes by itself.
+    pub catch_up: f64,
     seeds: Vec<Node>,
     chance: oorandom::Rand64,
     pub(crate) lives: BTreeMap<Node, u64>,
@@ -144,6 +148,7 @@
             steps: 0,
             size,
             needed,
+            catch_up: NEVER,
             seeds: vec![1, 2, 3],
             chance: oorandom::Rand64::new(u128::from(seed)),
             lives: BTreeMap::new(),
@@ -209,6 +214,7 @@
         let start = Start {
             keeper: keeper(node),
             needed: self.needed,
+            catch_up: self.catch_up,
             slots: kept.muster.known().then_some(kept.slots),
             muster: kept.muster,
             posts: kept.posts.into_values().collect(),
@@ -235,6 +241,13 @@
         }
     }
 
+    /// A machine with an empty disk that was not there before, at an address of its own.
+    pub fn join(&mut self, node: Node) {
+        self.size = self.size.max(node);
+        self.disks.entry(node).or_default();
+        self.start(node, false);
+    }
+
     /// First on each link; one that is cut is tried again.
     fn greet(&mut self, from: Node, to: Node) {
         if self.cuts.get(&(from, to)).is_some_and(|until| self.now < *until) {
