--- a/pilot/src/deck.rs
+++ b/pilot/src/deck.rs
@@ -2,6 +2,7 @@
 //! and the way to the counter. Owns how news is handed to those that go by it. Must never block or wait: tasks look, step,
 //! and go on.
 
+use crate::metrics::Metrics;
 use berth::budget::{Budget, Rule};
 use berth::choice::{Berth, ColdRule, ServiceTerms};
 use bridge::views::{Turn, Views};
@@ -31,6 +32,7 @@
     pub views: RefCell<Views>,
     pub berth: RefCell<Berth>,
     pub budget: RefCell<Budget>,
+    pub metrics: Metrics,
     shares: RefCell<HashMap<String, Share>>,
     asker: RefCell<Asker>,
     verdicts: RefCell<HashMap<u32, oneshot::Sender<Verdict>>>,
@@ -59,6 +61,7 @@
             views: RefCell::new(Views::new(bounds.revoke - REVOKE_MARGIN)),
             berth: RefCell::new(berth),
             budget: RefCell::default(),
+            metrics: Metrics::new(),
             shares: RefCell::default(),
             asker: RefCell::new(Asker::new(clock.now(), mooring::chance())),
             verdicts: RefCell::default(),
--- a/pilot/src/front.rs
+++ b/pilot/src/front.rs
@@ -1,11 +1,14 @@
-//! Clients' connections, from the accept to the last byte of an answer, and the platform's question whether this gateway is
-//! ready. Owns the listening sockets and their bounds. Must never end a connection on which a request waits.
+//! Clients' connections, from the accept to the last byte of an answer, and whether their clients are still there. Owns the
+//! listening socket and its bounds. Must never end a connection on which a request waits.
 
+use crate::client::Client;
 use crate::deck::Deck;
 use crate::request;
-use fairway::plain::{Answer, Asked, ServerSide};
+use fairway::departure::departure;
+use fairway::plain::{Answer, Asked, Request, ServerSide};
 use futures_util::{SinkExt, StreamExt};
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -26,7 +29,8 @@
 const MOST_BODY: usize = 8 << 20;
 /// A client that does not read its answer is let go.
 const UNREAD: Duration = Duration::from_secs(10);
-const READY_IDLE: Duration = Duration::from_secs(30);
+/// Bytes that are read ahead of a client that sends its next request early: a head's worth.
+const READ_AHEAD: usize = 16 * 1024;
 
 pub struct Front {
     pub deck: Rc<Deck>,
@@ -97,14 +101,11 @@
         let (mut answer, close) = match asked {
             Asked::Bad(status) => (Answer::plain(status), true),
             Asked::Request(request) => {
-                let (close, id) = (request.close, request.fields[0].once().map(str::to_string));
-                let mut answer = request::respond(&front.deck, *request).await;
-                if let Some(id) = id.filter(|_| !answer.lines.starts_with(b"Attempt-Id")) {
-                    answer = answer.with("Attempt-Id", id);
-                }
-                (answer, close)
+                let close = request.close;
+                (attend(&front, &mut framed, *request).await, close)
             }
         };
+        front.deck.metrics.answered(answer.status);
         answer.close = close || answer.status == 400 || *front.stage.borrow() != Stage::Serving;
         let ends = answer.close;
         match timeout(UNREAD, framed.send(answer)).await {
@@ -114,28 +115,21 @@
     }
 }
 
-/// `GET /archlink/readiness`.
-pub async fn ready(front: Rc<Front>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let front = front.clone();
-        spawn_local(async move {
-            let mut framed = Framed::new(stream, ServerSide::new(&[], 0, front.room.clone()));
-            while let Ok(Some(Ok(asked))) = timeout(READY_IDLE, framed.next()).await {
-                let status = match asked {
-                    Asked::Request(r) if r.target.split('?').next() == Some("/archlink/readiness") => {
-                        if front.deck.ready() { 200 } else { 503 }
-                    }
-                    Asked::Request(_) => 404,
-                    Asked::Bad(status) => status,
-                };
-                if framed.send(Answer::plain(status)).await.is_err() {
-                    return;
-                }
-            }
-        });
+/// The answer to one request, with an eye on its client.
+async fn attend(front: &Front, framed: &mut Framed<TcpStream, ServerSide>, request: Request) -> Answer {
+    let id = request.fields[request::ATTEMPT_ID].once().map(str::to_string);
+    let client = Client::new();
+    let mut respond = pin!(request::respond(&front.deck, request, &client));
+    let answer = tokio::select! {
+        biased;
+        _ = departure(framed, READ_AHEAD) => {
+            client.depart();
+            respond.await
+        }
+        answer = &mut respond => answer,
+    };
+    match id.filter(|_| !answer.lines.starts_with(b"Attempt-Id")) {
+        Some(id) => answer.with("Attempt-Id", id),
+        None => answer,
     }
 }
--- a/pilot/src/hand_off.rs
+++ b/pilot/src/hand_off.rs
@@ -2,7 +2,9 @@
 //! it: a request is not broken off while its host is at work. Owns the host protocol's names. Must never try twice, nor
 //! take for an answer what does not carry the request's own id, the host's seal and its whole body.
 
+use crate::client::Client;
 use crate::deck::Deck;
+use crate::metrics::DepartedEnd;
 use crate::voyage::Came;
 use berth::choice::{Chosen, End};
 use fairway::kept::Line;
@@ -31,6 +33,17 @@
     /// Header lines beside those that differ from host to host.
     pub lines: Vec<u8>,
     pub origin: String,
+    pub client: Client,
+}
+
+/// One hand-off that was decided on.
+pub struct HandOff {
+    pub to: Chosen,
+    /// The service whose host that is.
+    pub service: String,
+    /// When the request's time is up.
+    pub until: Instant,
+    pub cargo: Rc<Cargo>,
 }
 
 /// What came of a hand-off.
@@ -115,13 +128,8 @@
 }
 
 /// Carries one hand-off to its end, tells the berth, and whoever still waits.
-pub async fn carry(
-    deck: Rc<Deck>,
-    to: Chosen,
-    cargo: Rc<Cargo>,
-    until: Instant,
-    done: mpsc::Sender<Outcome>,
-) {
+pub async fn carry(deck: Rc<Deck>, order: HandOff, done: mpsc::Sender<Outcome>) {
+    let HandOff { to, service, until, cargo } = order;
     let began = deck.clock.now();
     let ended = timeout_at(until, exchange(&deck, &to, &cargo, until)).await;
     let (came, end, reply) = match ended {
@@ -146,6 +154,9 @@
     if end == End::Unreached || end == End::Silent {
         deck.kept.forget(to.key);
     }
+    if let Some(after) = cargo.client.gone_for() {
+        deck.metrics.departed_hand_off(&service, DepartedEnd::Finished, after);
+    }
     let now = deck.clock.now();
     deck.berth.borrow_mut().ended(now, to.key, now - began, end);
     done.try_send(Outcome { came, reply }).ok();
--- a/pilot/src/lib.rs
+++ b/pilot/src/lib.rs
@@ -2,13 +2,16 @@
 //! part in a decision.
 #![forbid(unsafe_code)]
 
+mod client;
 mod deck;
 mod front;
 mod hand_off;
+mod metrics;
 #[cfg(test)]
 mod played;
 mod request;
 mod session;
+mod status;
 mod voyage;
 
 use chart::Settings;
@@ -37,8 +40,8 @@
 const HOST_CONNECT: f64 = 0.25;
 /// The largest answer of a host.
 const MOST_REPLY: usize = 8 << 20;
-/// Seconds between two lines on services that not all requests are let in to.
-const DOORS_EVERY: u64 = 5;
+/// Seconds between two lines on services that not all requests are let in to, or whose clients leave.
+const LINES_EVERY: u64 = 5;
 /// After SIGTERM: part of the grace in which clients that still come are served, and the part by which all ends.
 const TAKE_ON: f64 = 0.4;
 const END_BY: f64 = 0.95;
@@ -82,8 +85,18 @@
         .attach_with(|| format!("{key}: {address}"))
 }
 
+/// Figures for operators at that port of the machine's own address. A port that is taken costs the figures and nothing else.
+async fn tell_metrics(front: Rc<Front>, port: u16) {
+    let address = SocketAddr::new(front.deck.settings.ip.into(), port);
+    match TcpListener::bind(address).await {
+        Ok(listener) => status::metrics(front, listener).await,
+        Err(e) => log::warn!("no metrics at {address}: {e}"),
+    }
+}
+
 /// Serves as a data gateway on a runtime of its own thread, until `until` ends; then answers all that was taken.
-pub async fn serve(settings: Settings, until: impl Future<Output = ()>) -> Outcome<()> {
+/// `metrics` is the port for operators' figures, if they want any.
+pub async fn serve(settings: Settings, metrics: Option<u16>, until: impl Future<Output = ()>) -> Outcome<()> {
     let clock = Clock::start();
     let (clients, ready) =
         (bind(settings.front, "Listen.Front").await?, bind(settings.ready, "Listen.Ready").await?);
@@ -102,16 +115,20 @@
     spawn_local(session::count(deck.clone()));
     let waking = deck.clone();
     spawn_local(async move { waking.keep_waking().await });
-    spawn_local(front::ready(front.clone(), ready));
+    spawn_local(status::readiness(front.clone(), ready));
+    if let Some(port) = metrics {
+        spawn_local(tell_metrics(front.clone(), port));
+    }
     let listening = spawn_local(front::listen(front.clone(), clients));
     let swept = deck.clone();
     spawn_local(async move {
         for second in 1_u64.. {
             sleep(Duration::from_secs(1)).await;
             kept.sweep();
-            if second % DOORS_EVERY == 0 {
+            if second % LINES_EVERY == 0 {
                 let doors = swept.berth.borrow().doors(swept.clock.now());
-                doors.into_iter().for_each(|line| log::info!("{line}"));
+                let lines = doors.into_iter().chain(swept.metrics.departure_lines());
+                lines.for_each(|line| log::info!("{line}"));
             }
         }
     });
--- a/pilot/src/main.rs
+++ b/pilot/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use archlink_pilot::{Outcome, PilotError, read_settings, serve};
-use clap::Command;
+use clap::{Arg, Command, value_parser};
 use error_stack::ResultExt;
 use mooring::until_told;
 use tokio::runtime::LocalOptions;
@@ -16,7 +16,7 @@
     }
 }
 
-fn begin() -> Outcome<()> {
+fn begin(metrics: Option<u16>) -> Outcome<()> {
     let settings = read_settings()?;
     let level = std::env::var("ARCHLINK_LOG").ok().and_then(|l| l.parse().ok());
     mooring::log_to_stderr(&settings.name, level.unwrap_or(log::LevelFilter::Info));
@@ -24,15 +24,21 @@
     let runtime =
         builder.enable_all().build_local(LocalOptions::default()).change_context(PilotError::Start)?;
     runtime.block_on(async {
-        serve(settings, until_told(read_again).change_context(PilotError::Start)?).await
+        serve(settings, metrics, until_told(read_again).change_context(PilotError::Start)?).await
     })?;
     std::process::exit(0)
 }
 
 fn main() {
     let about = "The data plane of archlink: reads the file that ARCHLINK_CONFIG names and serves clients";
-    Command::new("archlink-pilot").version(env!("CARGO_PKG_VERSION")).about(about).get_matches();
-    if let Err(e) = begin() {
+    let metrics = Arg::new("metrics-port")
+        .long("metrics-port")
+        .value_name("PORT")
+        .value_parser(value_parser!(u16).range(1..))
+        .help("Tells own figures as OpenMetrics text at http://IpAddress:PORT/metrics");
+    let command = Command::new("archlink-pilot").version(env!("CARGO_PKG_VERSION")).about(about).arg(metrics);
+    let given = command.get_matches();
+    if let Err(e) = begin(given.get_one("metrics-port").copied()) {
         eprintln!("archlink-pilot: {}", mooring::told(&e));
         std::process::exit(2);
     }
--- a/pilot/src/played.rs
+++ b/pilot/src/played.rs
@@ -2,6 +2,7 @@
 //! gets its own answer or none, and one that may not be repeated reaches at most one host. Nothing here sleeps: a host waits
 //! for what the client has got, and silence ends with the request's own time.
 
+use crate::client::Client;
 use crate::deck::Deck;
 use crate::front::{self, Front, Stage};
 use crate::{hand_off, request};
@@ -234,7 +235,7 @@
     let (method, target, host) = ("POST".into(), target.into(), once("o"));
     let body = vec![b'x'; body].into();
     let request = Request { method, target, host, fields, passed: vec![], body, close: false, held: None };
-    request::respond(deck, request).await
+    request::respond(deck, request, &Client::new()).await
 }
 
 /// Two hosts that do what the script says, and a data gateway before them.
--- a/pilot/src/request.rs
+++ b/pilot/src/request.rs
@@ -2,8 +2,9 @@
 //! client protocol's names and the order of these questions. Must never send on what an earlier question refused, and
 //! answers what is refused at once.
 
+use crate::client::Client;
 use crate::deck::Deck;
-use crate::hand_off::{Cargo, Outcome, carry, relayed};
+use crate::hand_off::{Cargo, HandOff, Outcome, carry, relayed};
 use crate::voyage::{Final, Next, Rules, Voyage};
 use berth::choice::{Chosen, Door, Need};
 use chart::{Chart, Route, Tenant};
@@ -16,7 +17,7 @@
 
 /// Headers that are read of a request and never passed on as the client sent them.
 pub const READ: &[&str] = &["attempt-id", "time-remaining", "key", "subscriber", "target-instance"];
-const ATTEMPT_ID: usize = 0;
+pub const ATTEMPT_ID: usize = 0;
 const TIME_REMAINING: usize = 1;
 const KEY: usize = 2;
 
@@ -107,7 +108,8 @@
         .collect()
 }
 
-pub async fn respond(deck: &Rc<Deck>, request: Request) -> Answer {
+/// The answer to a request of that client.
+pub async fn respond(deck: &Rc<Deck>, request: Request, client: &Client) -> Answer {
     let began = deck.clock.now();
     let Some(chart) = deck.chart() else { return come_back(503, SOON) };
     let (id, told) = match (&request.fields[ATTEMPT_ID], &request.fields[TIME_REMAINING]) {
@@ -159,8 +161,12 @@
         lines.extend_from_slice(format!("Subscriber: {}\r\n", tenant.name).as_bytes());
     }
     let origin = request.host.once().unwrap_or("").to_string();
-    let cargo = Rc::new(Cargo { request, id, lines, origin });
-    sail(&mut way, Voyage::new(rules), &cargo, &asked).await
+    let cargo = Rc::new(Cargo { request, id, lines, origin, client: client.clone() });
+    let answer = sail(&mut way, Voyage::new(rules), &cargo, &asked).await;
+    if client.gone_for().is_some() {
+        deck.metrics.client_departed(way.services[0]);
+    }
+    answer
 }
 
 fn finally(last: Final) -> Answer {
@@ -229,7 +235,8 @@
                     }
                     way.tried.push(to.key);
                     deck.berth.borrow_mut().sent(now, to.key, way.goal);
-                    spawn_local(carry(deck.clone(), to, cargo.clone(), until, sender.clone()));
+                    let order = HandOff { to, service, until, cargo: cargo.clone() };
+                    spawn_local(carry(deck.clone(), order, sender.clone()));
                 }
                 None if voyage.waits() => doubt = None,
                 None => return finally(voyage.no_more()),
