Requests end with their clients: runs that may be repeated, waits, further hand-offs, adds

Cause: a data gateway never looked at a client's connection while its request was at work, and a hand-off was carried to its end whoever still waited for it. The class: work without an owner; a task outlives the one who asked for it, and waits are not looked at again before the next step. Ruled out: hosts that go on although their connection ended (worked on falls to 0); the close not reaching the process. Change: one token for each request (pilot::client) that the connection's watch sets; every wait ends with it (count, connection, host, second host), and the sockets are looked at once more after a wait, before anything is sent. What may be repeated is broken off by closing its connection; what may not runs to its end, and holds the gateway's Grace. berth: such ends say nothing bad of a host, only that it would have taken longer. Decision module: what a client that left was counted and never ran is given back (was lost to its tenant). Failed on the way: the first form of the grant test passed without the second look, as a new connection waits anyway; it now plays with kept connections, and fails with the look planted away.

--- a/berth/src/choice.rs
+++ b/berth/src/choice.rs
@@ -120,6 +120,10 @@
     Broken,
     /// No answer in its time.
     Silent,
+    /// Its client left before anything was sent.
+    Withdrawn,
+    /// It was broken off, as its client had left: all that is known is that the answer would have taken longer.
+    Abandoned,
 }
 
 struct Host {
@@ -152,6 +156,13 @@
         self.ill * (-(now - self.ill_at) / ILL_LAST).exp()
     }
 
+    /// One that waited for its answer does so no more.
+    fn stopped_waiting(&mut self) {
+        if self.out <= 0.0 {
+            self.asked = None;
+        }
+    }
+
     fn fared(&mut self, now: f64, well: bool) {
         let before = self.ill(now);
         self.ill = before + ILL_STEP * (if well { 0.0 } else { 1.0 } - before);
@@ -439,6 +450,7 @@
             match end {
                 End::Answered(_) => pool.took(now, took),
                 End::Full(_) => pool.took(now, f64::INFINITY),
+                End::Abandoned => pool.took_longer(now, took),
                 _ => {}
             }
         }
@@ -468,6 +480,16 @@
                 }
             }
             End::Full(_) => host.others = host.others.max(host.slots * 2.0),
+            // Nothing bad of the host: whether it would have answered nobody knows.
+            End::Withdrawn => host.stopped_waiting(),
+            End::Abandoned => {
+                host.stopped_waiting();
+                let known = if host.work > 0.0 { host.work } else { pool.map_or(0.0, |pool| pool.work()) };
+                let alone = took / ((before + host.others) / host.slots).max(1.0);
+                if alone > known {
+                    host.work = known + WORK_STEP * (alone - known);
+                }
+            }
             End::Elsewhere => host.moved = true,
             End::Unreached | End::Silent => {
                 host.rests += 1;
--- a/berth/src/pool.rs
+++ b/berth/src/pool.rs
@@ -60,6 +60,13 @@
         self.steered = now;
     }
 
+    /// An answer that nobody waited for any more would have taken longer than this.
+    pub fn took_longer(&mut self, now: f64, than: f64) {
+        if than > AT_HOST * self.goal {
+            self.took(now, than);
+        }
+    }
+
     /// A host told what runs and waits there, for each of its slots.
     pub fn told(&mut self, now: f64, load: f64) {
         let before = self.load(now);
--- a/berth/tests/choice.rs
+++ b/berth/tests/choice.rs
@@ -124,3 +124,36 @@
     }
     assert!(f64::from(tries) <= 9999.0 * rule.ratio + rule.slack && tries > 1400, "{tries}");
 }
+
+/// What its clients left behind says nothing bad of a host: it does not rest, is not ill, and is not taken for silent.
+#[test]
+fn clients_that_leave_cost_their_host_nothing() {
+    for end in [End::Withdrawn, End::Abandoned] {
+        let mut berth = berth();
+        berth.list(0.0, &[line("near", "a", 0.0), line("next", "b", 0.0)]);
+        let mut now = 0.0;
+        for _ in 0..50 {
+            let to = berth.choose(now, &need()).unwrap();
+            assert_eq!(to.id, "near", "{end:?} at {now}");
+            berth.sent(now, to.key, 0.3);
+            berth.ended(now + 0.03, to.key, 0.03, end);
+            now += 1.0;
+        }
+    }
+}
+
+/// Runs that were broken off late show that a host has become slow, as answers do that come late.
+#[test]
+fn runs_that_were_broken_off_late_show_a_slow_host() {
+    let mut berth = berth();
+    berth.list(0.0, &[line("near", "a", 0.0), line("next", "b", 0.0)]);
+    let mut now = 0.0;
+    for _ in 0..40 {
+        let to = berth.choose(now, &Need { left: 20.0, ..need() }).unwrap();
+        berth.sent(now, to.key, 0.3);
+        now += 1.0;
+        let end = if to.id == "near" { (1.0, End::Abandoned) } else { (0.05, End::Answered(None)) };
+        berth.ended(now, to.key, end.0, end.1);
+    }
+    assert_eq!(chosen(&mut berth, now, &need()).as_deref(), Some("next"));
+}
--- a/fairway/src/kept.rs
+++ b/fairway/src/kept.rs
@@ -109,6 +109,11 @@
         self.lines.borrow_mut().entry(host).or_default().push(Line { since: now, until, ..line });
     }
 
+    /// Gives back a connection on which nothing was said: it is kept for no longer than before.
+    pub fn put_back(&self, host: u64, line: Line<C>) {
+        self.lines.borrow_mut().entry(host).or_default().push(line);
+    }
+
     pub async fn open(&self, address: SocketAddr) -> io::Result<Line<C>> {
         if self.used.get() >= self.most {
             self.lines.borrow_mut().clear();
--- /dev/null
+++ b/fairway/tests/departure.rs
@@ -0,0 +1,101 @@
+//! Clients that leave while a request is at work, on loopback sockets: each way to leave is noticed, what was sent early is
+//! kept, and what is read ahead is bounded.
+
+use bytes::BytesMut;
+use fairway::departure::{Departure, departure};
+use fairway::plain::{Asked, ServerSide};
+use futures_util::StreamExt;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
+use tokio_util::codec::Framed;
+
+const MOST: usize = 4096;
+
+type Server = Framed<TcpStream, ServerSide>;
+
+/// A client and the server's side of its connection, on which one request was read.
+async fn pair(early: &[u8]) -> (TcpStream, Server) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (server, _) = listener.accept().await.unwrap();
+    let mut server = Framed::new(server, ServerSide::new(&[], 1 << 20, Rc::new(Cell::new(1 << 20))));
+    client.write_all(b"GET /first HTTP/1.1\r\n\r\n").await.unwrap();
+    assert_eq!(target(&mut server).await.as_deref(), Some("/first"));
+    client.write_all(early).await.unwrap();
+    (client, server)
+}
+
+async fn target(server: &mut Server) -> Option<String> {
+    match server.next().await?.ok()? {
+        Asked::Request(request) => Some(request.target),
+        Asked::Bad(status) => Some(status.to_string()),
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(test);
+}
+
+/// Polls for the departure while the runtime turns so many times; none while the client is there.
+async fn watched(server: &mut Server, turns: usize) -> Option<Departure> {
+    tokio::select! {
+        biased;
+        departure = departure(server, MOST) => Some(departure),
+        _ = async { for _ in 0..turns { yield_now().await } } => None,
+    }
+}
+
+#[test]
+fn each_way_to_leave_is_noticed() {
+    run(async {
+        for early in [&b""[..], b"GET /second HTTP/1.1\r\n\r\n"] {
+            let (client, mut server) = pair(early).await;
+            assert_eq!(watched(&mut server, 50).await, None);
+            drop(client);
+            assert_eq!(departure(&mut server, MOST).await, Departure::Closed);
+            let (mut client, mut server) = pair(early).await;
+            client.shutdown().await.unwrap();
+            assert_eq!(departure(&mut server, MOST).await, Departure::Closed);
+            let (client, mut server) = pair(early).await;
+            client.set_zero_linger().unwrap();
+            drop(client);
+            assert_eq!(departure(&mut server, MOST).await, Departure::Reset);
+        }
+    });
+}
+
+/// However the watch is dropped and begun again, requests that were sent early come out whole and in order.
+#[test]
+fn what_is_sent_early_is_kept() {
+    run(async {
+        let (mut client, mut server) = pair(b"POST /second HTTP/1.1\r\nContent-Length: 4\r\n\r\nab").await;
+        for part in [&b"c"[..], b"d", b"GET /third HT", b"TP/1.1\r\n\r\n"] {
+            assert_eq!(watched(&mut server, 20).await, None);
+            client.write_all(part).await.unwrap();
+        }
+        assert_eq!(watched(&mut server, 20).await, None);
+        assert_eq!(target(&mut server).await.as_deref(), Some("/second"));
+        assert_eq!(watched(&mut server, 20).await, None);
+        assert_eq!(target(&mut server).await.as_deref(), Some("/third"));
+    });
+}
+
+/// A client that sends without end fills its own connection and no more; its departure is noticed behind what is unread.
+#[test]
+fn what_is_read_ahead_is_bounded() {
+    run(async {
+        let (mut client, mut server) = pair(&[b'x'; 4 * MOST]).await;
+        assert_eq!(watched(&mut server, 200).await, None);
+        let ahead = server.read_buffer().len();
+        assert!((MOST..4 * MOST).contains(&ahead), "{ahead} bytes read ahead");
+        client.shutdown().await.unwrap();
+        assert_eq!(departure(&mut server, MOST).await, Departure::Closed);
+        // What a later reader finds is all that was sent.
+        let mut rest = BytesMut::from(&server.read_buffer()[..]);
+        while server.get_ref().try_read_buf(&mut rest).is_ok_and(|read| read > 0) {}
+        assert_eq!(rest.len(), 4 * MOST);
+    });
+}
--- a/pilot/src/client.rs
+++ b/pilot/src/client.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -28,6 +29,32 @@
         self.0.departure.cancel();
     }
 
+    /// Was its connection found closed?
+    pub fn has_departed(&self) -> bool {
+        self.0.departure.is_cancelled()
+    }
+
+    /// Ends once its connection is found closed.
+    pub async fn departed(&self) {
+        self.0.departure.cancelled().await;
+    }
+
+    /// What `work` comes to; none where the client leaves before, and `work` is dropped.
+    pub async fn unless_departed<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = work => Some(done),
+            _ = self.departed() => None,
+        }
+    }
+
+    /// To be called after a wait, before anything is done for the client: what the system knows of its connection by now is
+    /// taken in first, also where this process stood still and woke by something else.
+    pub async fn look_again(&self) {
+        // The runtime asks its sockets for news before it goes on with a task that yielded.
+        yield_now().await;
+    }
+
     /// Time since its departure was noticed; none while it is there.
     pub fn gone_for(&self) -> Option<Duration> {
         self.0.departed_at.get().map(|at| at.elapsed())
--- a/pilot/src/front.rs
+++ b/pilot/src/front.rs
@@ -4,7 +4,7 @@
 use crate::client::Client;
 use crate::deck::Deck;
 use crate::request;
-use fairway::departure::departure;
+use fairway::departure::{Departure, departure};
 use fairway::plain::{Answer, Asked, Request, ServerSide};
 use futures_util::{SinkExt, StreamExt};
 use std::cell::Cell;
@@ -98,15 +98,18 @@
         };
         let Some(Ok(asked)) = asked else { return };
         let _at_work = Count::of(&front.at_work);
-        let (mut answer, close) = match asked {
-            Asked::Bad(status) => (Answer::plain(status), true),
-            Asked::Request(request) => {
-                let close = request.close;
-                (attend(&front, &mut framed, *request).await, close)
-            }
+        let attended = match asked {
+            Asked::Bad(status) => Attended { answer: Answer::plain(status), close: true, departure: None },
+            Asked::Request(request) => attend(&front, &mut framed, *request).await,
         };
-        front.deck.metrics.answered(answer.status);
-        answer.close = close || answer.status == 400 || *front.stage.borrow() != Stage::Serving;
+        let Attended { mut answer, close, departure } = attended;
+        match departure {
+            Some(Departure::Reset) => return,
+            // One that only ended its sending still reads.
+            Some(Departure::Closed) => answer.close = true,
+            None => front.deck.metrics.answered(answer.status),
+        }
+        answer.close |= close || answer.status == 400 || *front.stage.borrow() != Stage::Serving;
         let ends = answer.close;
         match timeout(UNREAD, framed.send(answer)).await {
             Ok(Ok(())) if !ends => {}
@@ -115,21 +118,31 @@
     }
 }
 
-/// The answer to one request, with an eye on its client.
-async fn attend(front: &Front, framed: &mut Framed<TcpStream, ServerSide>, request: Request) -> Answer {
-    let id = request.fields[request::ATTEMPT_ID].once().map(str::to_string);
+/// What came of one request.
+struct Attended {
+    answer: Answer,
+    /// The client asked for the end of the connection, or what it sent leaves no other way.
+    close: bool,
+    /// How the client left before its answer.
+    departure: Option<Departure>,
+}
+
+/// Answers one request, with an eye on its client.
+async fn attend(front: &Front, framed: &mut Framed<TcpStream, ServerSide>, request: Request) -> Attended {
+    let (close, id) = (request.close, request.fields[request::ATTEMPT_ID].once().map(str::to_string));
     let client = Client::new();
     let mut respond = pin!(request::respond(&front.deck, request, &client));
-    let answer = tokio::select! {
+    let (answer, departure) = tokio::select! {
         biased;
-        _ = departure(framed, READ_AHEAD) => {
+        departure = departure(framed, READ_AHEAD) => {
             client.depart();
-            respond.await
+            (respond.await, Some(departure))
         }
-        answer = &mut respond => answer,
+        answer = &mut respond => (answer, None),
     };
-    match id.filter(|_| !answer.lines.starts_with(b"Attempt-Id")) {
+    let answer = match id.filter(|_| !answer.lines.starts_with(b"Attempt-Id")) {
         Some(id) => answer.with("Attempt-Id", id),
         None => answer,
-    }
+    };
+    Attended { answer, close, departure }
 }
--- a/pilot/src/hand_off.rs
+++ b/pilot/src/hand_off.rs
@@ -1,6 +1,7 @@
-//! One hand-off on one connection to a host, from the first byte to the last, carried to its end whoever still waits for
-//! it: a request is not broken off while its host is at work. Owns the host protocol's names. Must never try twice, nor
-//! take for an answer what does not carry the request's own id, the host's seal and its whole body.
+//! One hand-off on one connection to a host, from the first byte to the last. Where its client leaves, nothing more is sent,
+//! and a host at work on what may be repeated is let go by closing its connection; what may not be repeated is carried to
+//! its end whoever still waits for it. Owns the host protocol's names. Must never try twice, nor take for an answer what does
+//! not carry the request's own id, the host's seal and its whole body.
 
 use crate::client::Client;
 use crate::deck::Deck;
@@ -34,6 +35,8 @@
     pub lines: Vec<u8>,
     pub origin: String,
     pub client: Client,
+    /// It may run more than once, and so may be broken off.
+    pub repeatable: bool,
 }
 
 /// One hand-off that was decided on.
@@ -60,25 +63,52 @@
 /// How far it came without an answer, and why.
 type Broken = (Came, io::Error);
 
+fn nowhere(why: io::ErrorKind) -> Broken {
+    (Came::Nowhere, io::Error::from(why))
+}
+
+/// A connection to the host, kept or new.
+async fn connect(
+    deck: &Deck,
+    to: &Chosen,
+    client: &Client,
+    until: Instant,
+) -> Result<Line<CallerSide>, Broken> {
+    if let Some(line) = deck.kept.take(to.key, to.address.into()) {
+        return Ok(line);
+    }
+    let opened = timeout_at(until, deck.kept.open(to.address.into())).await;
+    let line = opened.map_err(|_| nowhere(io::ErrorKind::TimedOut))?.map_err(|e| (Came::Nowhere, e))?;
+    client.look_again().await;
+    Ok(line)
+}
+
 async fn exchange(deck: &Deck, to: &Chosen, cargo: &Cargo, until: Instant) -> Result<Reply, Broken> {
-    let nowhere = |why: io::ErrorKind| (Came::Nowhere, io::Error::from(why));
-    let line = match deck.kept.take(to.key, to.address.into()) {
-        Some(line) => line,
-        None => match timeout_at(until, deck.kept.open(to.address.into())).await {
-            Ok(opened) => opened.map_err(|e| (Came::Nowhere, e))?,
-            Err(_) => return Err(nowhere(io::ErrorKind::TimedOut)),
-        },
-    };
+    let Cargo { client, .. } = cargo;
+    let left = |came: Came| (came, io::Error::other("its client has left"));
+    let connected = client.unless_departed(connect(deck, to, client, until)).await;
+    let line = connected.unwrap_or_else(|| Err(left(Came::Withdrawn)))?;
+    if client.has_departed() {
+        deck.kept.put_back(to.key, line);
+        return Err(left(Came::Withdrawn));
+    }
     // A new connection took its time: what is no longer allowed is not sent.
     if !deck.berth.borrow().still(to.key) || Instant::now() >= until {
         return Err(nowhere(io::ErrorKind::Interrupted));
     }
-    let left = (until - Instant::now()).as_millis().max(1);
+    let remaining = (until - Instant::now()).as_millis().max(1);
     let mut lines = cargo.lines.clone();
-    lines.extend_from_slice(format!("Time-Remaining: {left}\r\nTarget-Instance: {}\r\n", to.id).as_bytes());
+    let own = format!("Time-Remaining: {remaining}\r\nTarget-Instance: {}\r\n", to.id);
+    lines.extend_from_slice(own.as_bytes());
     let Request { method, target, body, .. } = &cargo.request;
     let sending = Sending { method, target, host: &cargo.origin, lines: &lines, body };
-    speak(deck, to.key, line, sending, &cargo.id).await
+    let spoken = speak(deck, to.key, line, sending, &cargo.id);
+    if cargo.repeatable {
+        let spoken = client.unless_departed(spoken).await;
+        spoken.unwrap_or_else(|| Err(left(Came::Abandoned)))
+    } else {
+        spoken.await
+    }
 }
 
 /// Sends all of it or says how far it came: a socket that took a byte may have passed it on, whatever it says later.
@@ -146,8 +176,13 @@
         }
         Ok(Err((came, cause))) => {
             log::debug!("host {}: {cause}", to.id);
-            let unsent = matches!(came, Came::Nowhere | Came::Untouched);
-            (came, if unsent { End::Unreached } else { End::Broken }, None)
+            let end = match came {
+                Came::Withdrawn => End::Withdrawn,
+                Came::Abandoned => End::Abandoned,
+                Came::Nowhere | Came::Untouched => End::Unreached,
+                _ => End::Broken,
+            };
+            (came, end, None)
         }
         Err(_) => (Came::TimeUp, End::Silent, None),
     };
@@ -155,7 +190,12 @@
         deck.kept.forget(to.key);
     }
     if let Some(after) = cargo.client.gone_for() {
-        deck.metrics.departed_hand_off(&service, DepartedEnd::Finished, after);
+        let how = match came {
+            Came::Withdrawn => DepartedEnd::Withdrawn,
+            Came::Abandoned => DepartedEnd::BrokenOff,
+            _ => DepartedEnd::Finished,
+        };
+        deck.metrics.departed_hand_off(&service, how, after);
     }
     let now = deck.clock.now();
     deck.berth.borrow_mut().ended(now, to.key, now - began, end);
--- a/pilot/src/metrics.rs
+++ b/pilot/src/metrics.rs
@@ -32,6 +32,10 @@
 /// How a hand-off ended whose client had left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum DepartedEnd {
+    /// Nothing had been sent to the host, and nothing was.
+    Withdrawn,
+    /// Its connection to the host was closed.
+    BrokenOff,
     /// The host worked to its end.
     Finished,
 }
@@ -46,6 +50,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Departures {
     clients: u64,
+    withdrawn: u64,
+    broken_off: u64,
     finished: u64,
     /// The longest time from a departure to the end of a hand-off.
     longest: Duration,
@@ -127,6 +133,8 @@
         let mut recent = self.recent.borrow_mut();
         let counts = recent.entry(service.clone()).or_default();
         match end {
+            DepartedEnd::Withdrawn => counts.withdrawn += 1,
+            DepartedEnd::BrokenOff => counts.broken_off += 1,
             DepartedEnd::Finished => counts.finished += 1,
         }
         counts.longest = counts.longest.max(after);
@@ -139,8 +147,10 @@
         let recent = std::mem::take(&mut *self.recent.borrow_mut());
         let line = |(service, counts): (String, Departures)| {
             format!(
-                "{service}: {} clients left; of their hand-offs {} ran on, the longest for {:.2} s",
+                "{service}: {} clients left; of their hand-offs {} were never sent, {} broken off, {} let run, the last ended {:.2} s later",
                 counts.clients,
+                counts.withdrawn,
+                counts.broken_off,
                 counts.finished,
                 counts.longest.as_secs_f64()
             )
--- a/pilot/src/request.rs
+++ b/pilot/src/request.rs
@@ -149,10 +149,13 @@
     if way.choose().is_none() {
         return finally(Voyage::new(rules).no_more());
     }
-    if let Some(tenant) = asked.tenant.filter(|tenant| tenant.rate > 0.0)
-        && let Err(wait) = deck.admit(tenant, left).await
-    {
-        return come_back(429, wait);
+    if let Some(tenant) = asked.tenant.filter(|tenant| tenant.rate > 0.0) {
+        match client.unless_departed(deck.admit(tenant, left)).await {
+            Some(Ok(())) => client.look_again().await,
+            Some(Err(wait)) => return come_back(429, wait),
+            // The question is taken back with the wait for its answer.
+            None => return way.abandoned(Voyage::new(rules).no_more()),
+        }
     }
     way.door = None;
     let mut lines = request.passed.clone();
@@ -161,12 +164,9 @@
         lines.extend_from_slice(format!("Subscriber: {}\r\n", tenant.name).as_bytes());
     }
     let origin = request.host.once().unwrap_or("").to_string();
-    let cargo = Rc::new(Cargo { request, id, lines, origin, client: client.clone() });
-    let answer = sail(&mut way, Voyage::new(rules), &cargo, &asked).await;
-    if client.gone_for().is_some() {
-        deck.metrics.client_departed(way.services[0]);
-    }
-    answer
+    let repeatable = rules.repeatable;
+    let cargo = Rc::new(Cargo { request, id, lines, origin, client: client.clone(), repeatable });
+    sail(&mut way, Voyage::new(rules), &cargo, &asked).await
 }
 
 fn finally(last: Final) -> Answer {
@@ -206,17 +206,27 @@
             berth.choose(now, &need).map(|chosen| (chosen, *service))
         })
     }
+
+    /// The client left: its request ends so.
+    fn abandoned(&self, last: Final) -> Answer {
+        self.deck.metrics.client_departed(self.services[0]);
+        finally(last)
+    }
 }
 
 async fn sail(way: &mut Way<'_>, mut voyage: Voyage, cargo: &Rc<Cargo>, asked: &Asked<'_>) -> Answer {
     const MOST_OUT: usize = 8;
-    let deck = way.deck.clone();
+    let (deck, client) = (way.deck.clone(), &cargo.client);
     let until = deck.clock.instant(way.until);
     let (sender, mut outcomes) = mpsc::channel::<Outcome>(MOST_OUT);
     let (mut go, mut paid) = (true, false);
     let mut doubt: Option<Instant> = None;
+    let mut departed = false;
     loop {
-        if std::mem::take(&mut go) {
+        if go && voyage.has_begun() {
+            client.look_again().await;
+        }
+        if std::mem::take(&mut go) && !client.has_departed() {
             // What is true of keys is looked at again after each wait, a freeze of the machine among them.
             let allowed = asked.tenant.is_none() || deck.vouched();
             let chosen =
@@ -245,10 +255,19 @@
         let doubted = doubt.unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
         tokio::select! {
             biased;
+            _ = client.departed(), if !departed => {
+                (departed, doubt) = (true, None);
+                let last = way.abandoned(voyage.no_more());
+                // A run that may not be repeated goes on, and its answer may still be read.
+                if cargo.repeatable || !voyage.waits() {
+                    return last;
+                }
+            }
             outcome = outcomes.recv() => {
                 let Some(Outcome { came, reply }) = outcome else { return finally(voyage.no_more()) };
-                let how = came.ended(asked.route.repeatable);
-                match voyage.ended(how, way.until - deck.clock.now()) {
+                let how = came.ended(cargo.repeatable);
+                let left = if client.has_departed() { 0.0 } else { way.until - deck.clock.now() };
+                match voyage.ended(how, left) {
                     Next::Relay => match reply {
                         Some(reply) => return relayed(reply),
                         None => return finally(voyage.no_more()),
--- a/pilot/src/tests/departures.rs
+++ b/pilot/src/tests/departures.rs
@@ -3,6 +3,7 @@
 
 use super::Habit::*;
 use super::*;
+use signal::Add;
 use tally::frames::Settled;
 use tokio::io::AsyncWriteExt;
 
@@ -58,38 +59,158 @@
     run(habits.flat_map(|habit| [play(habit, false), play(habit, true)]), 32);
 }
 
-/// One tenant with a quota that counts.
+/// One tenant with a quota that counts, and a route that needs no key.
 const KEYED: &str = r#"{"ConfigVersion": "00000001",
-    "RouteTable": {"ColumnNames": ["Designation", "Origin", "PathPrefix", "Category", "MaxAttempts", "Service"],
-        "Records": [["r", "o", "/read", "idempotent", 2, "s"], ["w", "o", "/write", "non_idempotent", 2, "s"]]},
+    "RouteTable": {
+        "ColumnNames": ["Designation", "Origin", "PathPrefix", "Category", "MaxAttempts", "Service", "Public"],
+        "Records": [["r", "o", "/read", "idempotent", 2, "s", false], ["w", "o", "/write", "non_idempotent", 2, "s", false],
+            ["p", "o", "/open", "idempotent", 2, "s", true]]},
     "ServiceTable": {"ColumnNames": ["Designation"], "Records": [["s"]]},
     "Subscribers": {"ColumnNames": ["Designation", "Credentials", "RatePerS", "BurstSize"],
         "Records": [["t", ["k"], 100, 100]]}}"#;
 
+/// What a test needs around a request that waits for the counter.
+struct Counted {
+    world: Rc<World>,
+    deck: Rc<Deck>,
+    front: Rc<Front>,
+    client: TcpStream,
+    adds: Vec<Add>,
+    _stage: watch::Sender<Stage>,
+}
+
+/// A client whose request waits for the counter, with connections kept to both hosts, so that a grant sends it at once.
+async fn counted(target: &str) -> Counted {
+    let (world, deck) = world_of(&[Works, Works], KEYED);
+    let warm = [ask(&deck, "/open", "warm", TIME, 1), ask(&deck, "/open", "warmer", TIME, 1)];
+    let answered = async {
+        while world.ran.borrow().len() < 2 {
+            world.seen.notified().await;
+        }
+        world.finish.notify_waiters();
+    };
+    futures_util::future::join(futures_util::future::join_all(warm), answered).await;
+    world.ran.borrow_mut().clear();
+    deck.set_counted(true);
+    let (front, to, _stage) = front(deck.clone()).await;
+    let client = client(to, target, "one", "Key: k\r\n").await;
+    let mut adds = Vec::new();
+    while adds.is_empty() {
+        yield_now().await;
+        adds = deck.adds();
+    }
+    Counted { world, deck, front, client, adds, _stage }
+}
+
+async fn until(mut done: impl FnMut() -> bool) {
+    while !done() {
+        yield_now().await;
+    }
+}
+
 /// The client leaves and the counter's grant comes at one moment, as after a freeze of the machine: the grant may be looked
 /// at first.
 #[test]
 fn a_grant_that_comes_with_the_clients_departure_hands_nothing_on() {
     let play = async |target: &'static str| {
-        let (world, deck) = world_of(&[Right], KEYED);
-        deck.set_counted(true);
-        let (front, to, _stage) = front(deck.clone()).await;
-        let client = client(to, target, "one", "Key: k\r\n").await;
-        let mut adds = Vec::new();
-        while adds.is_empty() {
-            yield_now().await;
-            adds = deck.adds();
-        }
+        let Counted { world, deck, front, client, adds, _stage } = counted(target).await;
         drop(client);
         let totals = vec![1.0; adds.len()];
         deck.settled(vec![Settled::Totals(adds, totals)]);
-        while front.at_work.get() > 0 {
+        until(|| front.at_work.get() == 0).await;
+        for _ in 0..20 {
             yield_now().await;
         }
+        assert_eq!(*world.ran.borrow(), [], "{target}");
+    };
+    run([play("/read"), play("/write")], 1);
+}
+
+/// A client that leaves while the counter is asked costs its tenant nothing: its add is taken back.
+#[test]
+fn a_client_that_leaves_while_it_is_counted_has_its_add_taken_back() {
+    let play = async |target: &'static str| {
+        let Counted { world, deck, front, client, adds, _stage } = counted(target).await;
+        drop(client);
+        until(|| front.at_work.get() == 0).await;
+        let (name, added) = (adds[0].name, adds[0].amount);
+        deck.settled(vec![Settled::Totals(adds, vec![1.0])]);
+        let back: f32 = deck.adds().iter().filter(|add| add.name == name).map(|add| add.amount).sum();
+        assert_eq!((added, back), (1.0, -1.0), "{target}");
+        assert_eq!(*world.ran.borrow(), [], "{target}");
+    };
+    run([play("/read"), play("/write")], 1);
+}
+
+/// What may not be repeated runs on, keeps the gateway at work, and leaves its connection as good as before.
+#[test]
+fn a_run_that_may_not_be_repeated_is_carried_to_its_end() {
+    let play = async || {
+        let (world, deck) = world(&[Works]);
+        let (front, to, _stage) = front(deck.clone()).await;
+        let client = client(to, "/write", "one", "").await;
+        world.seen.notified().await;
+        drop(client);
+        until(|| deck.metrics.text(0, 0).contains("client_departures_total{service=\"s\"} 1")).await;
+        assert_eq!(front.at_work.get(), 1);
+        world.finish.notify_waiters();
+        until(|| front.at_work.get() == 0).await;
+        assert_eq!(*world.broken_off.borrow(), [""; 0]);
+        assert!(deck.metrics.text(0, 0).contains("end=\"Finished\"} 1"));
+        assert_eq!(ask(&deck, "/write", "two", TIME, 10).await.status, 200);
+    };
+    run([play()], 1);
+}
+
+/// A host whose new connections do not come up: the hand-off ends with its client, and later nothing arrives.
+#[test]
+fn a_client_that_leaves_while_a_connection_opens_is_sent_nowhere() {
+    let play = async |target: &'static str| {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let to = listener.local_addr().unwrap();
+        // Takes up all places for connections that nobody has accepted.
+        let crowd: Vec<_> = (0..8).map(|_| spawn_local(TcpStream::connect(to))).collect();
         for _ in 0..20 {
             yield_now().await;
         }
-        assert_eq!(*world.ran.borrow(), [], "{target}");
+        let deck = deck(&[to], OPEN);
+        let (began, client) = (deck.clock.now(), Client::new());
+        let leaves = async {
+            for _ in 0..20 {
+                yield_now().await;
+            }
+            client.depart();
+        };
+        let asked = ask_as(&deck, target, "one", TIME, 10, &client);
+        let (answer, ()) = futures_util::future::join(asked, leaves).await;
+        assert!(deck.clock.now() - began < f64::from(TIME) / 1e3 / 2.0, "{target}");
+        // For a client that only ended its sending: it has not run.
+        assert_eq!(answer.status, if target == "/read" { 502 } else { 503 });
+        until(|| deck.metrics.text(0, 0).contains("end=\"Withdrawn\"} 1")).await;
+        crowd.into_iter().for_each(|one| one.abort());
     };
     run([play("/read"), play("/write")], 1);
 }
+
+/// A client that only ended its sending gets an answer all the same, and nothing that it sent after this request is begun.
+#[test]
+fn a_client_that_only_ends_its_sending_is_answered_and_then_let_go() {
+    let play = async |target: &'static str, status: &'static str, ran: &'static [(&'static str, usize)]| {
+        let (world, deck) = world(&[Works]);
+        let (_front, to, _stage) = front(deck.clone()).await;
+        let mut client = client(to, target, "one", "").await;
+        client.write_all(text(target, "two", "").as_bytes()).await.unwrap();
+        world.seen.notified().await;
+        client.shutdown().await.unwrap();
+        until(|| deck.metrics.text(0, 0).contains("client_departures_total{service=\"s\"} 1")).await;
+        world.finish.notify_waiters();
+        let mut said = String::new();
+        client.read_to_string(&mut said).await.unwrap();
+        assert!(said.starts_with(status) && said.matches("HTTP/1.1").count() == 1, "{said}");
+        let all: Vec<String> = world.ran.borrow().iter().map(|(id, _)| id.clone()).collect();
+        assert_eq!(all, ran.iter().map(|(id, _)| id.to_string()).collect::<Vec<_>>());
+    };
+    run([play("/read", "HTTP/1.1 502", &[("one", 0)]), play("/write", "HTTP/1.1 200", &[("one", 0)])], 1);
+}
--- a/pilot/src/voyage.rs
+++ b/pilot/src/voyage.rs
@@ -27,6 +27,10 @@
     Unanswered,
     /// The time was up, wherever it stood.
     TimeUp,
+    /// The client left before its first byte.
+    Withdrawn,
+    /// It had taken some bytes or all, and was broken off as the client had left.
+    Abandoned,
     /// A whole answer under the request's own id; `declined` is the host's own word that it did not run it.
     Answered { status: u16, declined: bool },
 }
@@ -41,14 +45,16 @@
     /// | halfway | another host, 502 | 502 | a host may begin at the head; only a whole request is sure to be run, but none that a byte left of is sure not to be |
     /// | unanswered | another host, 502 | 502 | all may have arrived; a kept connection that the host closed at that moment looks the same |
     /// | time up | 502 | 502 | as unanswered, and nobody waits any more |
+    /// | withdrawn | 503 | 503 | no byte left this machine; no further host either, as nobody waits any more |
+    /// | abandoned | 502 | let run | all may have arrived; what may not be repeated is never broken off |
     /// | declined, 421 | another host, 503 | another host, 503 | the host's word |
     /// | 408, 429, 503 | as they are, 503 after another host | 502 | to a client these say that it has not run; the host did not say that |
     /// | other 5xx | another host, as it is | as it is | it ran, and that is its answer |
     /// | all else | as it is | as it is | its answer |
     pub fn ended(self, repeatable: bool) -> Ended {
         match self {
-            Came::Nowhere | Came::Untouched => Ended::Unsent,
-            Came::Halfway | Came::Unanswered | Came::TimeUp => Ended::Lost,
+            Came::Nowhere | Came::Untouched | Came::Withdrawn => Ended::Unsent,
+            Came::Halfway | Came::Unanswered | Came::TimeUp | Came::Abandoned => Ended::Lost,
             Came::Answered { declined: true, .. } | Came::Answered { status: 421, .. } => Ended::Declined,
             Came::Answered { status: 408 | 429 | 503, .. } if !repeatable => Ended::Lost,
             Came::Answered { status: 500.., .. } => Ended::Failed,
@@ -127,7 +133,7 @@
         self.out += 1;
     }
 
-    /// A hand-off ended; `left` seconds remain.
+    /// A hand-off ended; `left` seconds remain, none where the client has left.
     pub fn ended(&mut self, how: Ended, left: f64) -> Next {
         const TOO_LATE: f64 = 0.01;
         self.out -= 1;
@@ -159,6 +165,11 @@
         self.last()
     }
 
+    /// Was there any hand-off before?
+    pub fn has_begun(&self) -> bool {
+        self.sent > 0 || self.unsent > 0
+    }
+
     /// Is any hand-off out?
     pub fn waits(&self) -> bool {
         self.out > 0
@@ -218,6 +229,8 @@
             (Came::Halfway, again, unknown),
             (Came::Unanswered, again, unknown),
             (Came::TimeUp, again, unknown),
+            (Came::Withdrawn, Next::Again { paid: false }, Next::Again { paid: false }),
+            (Came::Abandoned, again, unknown),
             (Came::Answered { status: 503, declined: true }, again, again),
             (Came::Answered { status: 200, declined: true }, again, again),
             (own(421), again, again),
@@ -242,6 +255,18 @@
         }
     }
 
+    /// Without time, which is what a client that left leaves, no end leads to another host.
+    #[test]
+    fn no_end_leads_to_another_host_where_nobody_waits() {
+        for repeatable in [false, true] {
+            for how in [Ended::Honoured, Ended::Failed, Ended::Declined, Ended::Unsent, Ended::Lost] {
+                let mut voyage = voyage(repeatable);
+                voyage.begins();
+                assert!(!matches!(voyage.ended(how, 0.0), Next::Again { .. } | Next::Wait), "{how:?}");
+            }
+        }
+    }
+
     #[test]
     fn a_silent_host_is_doubted_only_where_the_request_may_be_repeated() {
         assert_eq!(voyage(false).doubt_after(0.1), None);
--- a/src/hand_offs.rs
+++ b/src/hand_offs.rs
@@ -126,8 +126,12 @@
         self.hosts.entry(host).and_modify(|h| h.lanes[lane].heard = now);
     }
 
+    /// The client is gone. What never ran costs its customer nothing.
     pub fn left(&mut self, now: f64, out: &mut dyn Outward, id: u32) {
         self.now = now;
+        if self.open.get(&id).is_some_and(|open| !open.may_have_run()) {
+            self.take_back(out, id);
+        }
         self.close(out, id);
         self.rouse(out);
     }
@@ -148,7 +152,7 @@
     /// No further hand-off: pushed back where the lane lets the client try again, terminated elsewhere.
     pub(crate) fn give_up(&mut self, out: &mut dyn Outward, id: u32) {
         let Some(open) = self.open.get(&id) else { return };
-        let ran = open.sent.iter().any(|s| s.live || s.may_have_run);
+        let ran = open.may_have_run();
         if open.until > self.now + 1e-3 && (!ran || self.lanes[open.lane].refusable) {
             self.push_back_by_load(out, id);
         } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,6 +70,13 @@
     pub(crate) charged: Option<(u64, f64, f64)>,
 }
 
+impl Open {
+    /// A host is at work on it, or may have been.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.sent.iter().any(|sent| sent.live || sent.may_have_run)
+    }
+}
+
 pub(crate) struct Sent {
     pub(crate) host: HostId,
     pub(crate) zone: u8,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,3 +1,4 @@
 mod cases;
+mod departures;
 mod rules;
 mod world;
