--- a/gateway/src/take_in.rs
+++ b/gateway/src/take_in.rs
@@ -6,6 +6,7 @@
 use crate::http::{Answer, Asked, ClientSide, What};
 use crate::route::Hall;
 use bytes::BytesMut;
+use fairway::departure::departure;
 use futures_util::{SinkExt, StreamExt};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -21,6 +22,8 @@
 /// that such a client is owed, and longer than usual clients' connections rest. Unread answers are waited on likewise.
 const SILENT: Duration = Duration::from_millis(2500);
 const UNREAD: Duration = Duration::from_secs(3);
+/// Bytes that are read ahead of a client that sends its next inquiry early: a head's worth.
+const READ_AHEAD: usize = 16 * 1024;
 /// Larger buffers than this are given back after use.
 pub const LARGE: usize = 32 * 1024;
 
@@ -118,25 +121,20 @@
     stream.set_nodelay(true).ok();
     let mut framed = Framed::new(stream, ClientSide::new(door.hall.told.clone()));
     let mut stage = door.stage.clone();
-    let mut early: Option<Asked> = None;
     let mut known = false;
     loop {
-        let asked = match early.take() {
-            Some(asked) => asked,
-            None => {
-                let _stranger = (!known).then(|| Stranger::count(&door));
-                tokio::select! {
-                    biased;
-                    asked = framed.next() => match asked {
-                        Some(Ok(asked)) => asked,
-                        _ => return,
-                    },
-                    _ = door.make_room[usize::from(known)].notified() => return,
-                    _ = stage.wait_for(|stage| *stage == Stage::Left) => return,
-                    _ = sleep(SILENT) => return,
-                }
-            }
+        let stranger = (!known).then(|| Stranger::count(&door));
+        let asked = tokio::select! {
+            biased;
+            asked = framed.next() => match asked {
+                Some(Ok(asked)) => asked,
+                _ => return,
+            },
+            _ = door.make_room[usize::from(known)].notified() => return,
+            _ = stage.wait_for(|stage| *stage == Stage::Left) => return,
+            _ = sleep(SILENT) => return,
         };
+        drop(stranger);
         known = true;
         let Asked { what, close } = asked;
         let admitted = match what {
@@ -146,26 +144,21 @@
         };
         let mut answer = match admitted {
             Err(answer) => answer,
-            Ok(mut admitted) => {
-                loop {
-                    tokio::select! {
-                        biased;
-                        answer = &mut admitted.answer => match answer {
-                            Ok(answer) => break answer,
-                            Err(_) => return,
-                        },
-                        // Either the client is gone, or it sends its next inquiry early.
-                        more = framed.next(), if early.is_none() => match more {
-                            Some(Ok(more)) => early = Some(more),
-                            _ => return,
-                        },
-                    }
-                }
-            }
+            Ok(mut admitted) => tokio::select! {
+                biased;
+                answer = &mut admitted.answer => match answer {
+                    Ok(answer) => answer,
+                    Err(_) => return,
+                },
+                // Its inquiry, and with it what hosts do for it, is dropped here.
+                _ = departure(&mut framed, READ_AHEAD) => return,
+            },
         };
+        // An inquiry that was sent early is answered before its connection ends.
+        let early = !framed.read_buffer().is_empty();
         // Bad input ends its connection, whatever else was sent on it: floods of it cost one answer a connection.
         let bad = matches!(answer, Answer::Bad(_));
-        let close = bad || early.is_none() && (close || door.stage() != Stage::Serving);
+        let close = bad || !early && (close || door.stage() != Stage::Serving);
         let _held = if let Answer::Honoured { held, .. } = &mut answer { held.take() } else { None };
         match timeout(UNREAD, framed.send((answer, close))).await {
             // A large answer's buffer is not kept for as long as the connection.
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -587,6 +587,20 @@
     until("called off", || hosts[0].seen.open.load(Ordering::SeqCst) == 0);
 }
 
+/// Its connection was looked at no more once its next inquiry had been read early.
+#[test]
+fn a_client_that_sends_early_and_leaves_frees_the_host() {
+    let hosts = [Host::start(How::Silent)];
+    let gateway = gateway("early", Count::Well, &hosts);
+    let mut stream = TcpStream::connect(gateway.address).unwrap();
+    let long = |id| inquiry("GET", "look", "team", id, 30.0, b"");
+    stream.write_all(&[long(1), long(2)].concat()).unwrap();
+    until("handed off", || hosts[0].got() == 1);
+    drop(stream);
+    until("called off", || hosts[0].seen.open.load(Ordering::SeqCst) == 0);
+    assert_eq!(hosts[0].got(), 1, "what it sent early was begun");
+}
+
 #[test]
 fn a_counter_that_is_dead_silent_or_refusing_stops_nobody() {
     let hosts = [Host::start(How::Well)];
--- a/harbourmaster/src/calls.rs
+++ b/harbourmaster/src/calls.rs
@@ -68,11 +68,6 @@
         self.row().2
     }
 
-    /// Does it alter anything? It must not once its caller has moved on.
-    pub fn orders(self) -> bool {
-        matches!(self.rests(), Rests::Contact | Rests::Person)
-    }
-
     /// The call at a path, and the names that follow it.
     pub fn at(path: &str) -> Option<(Call, &str)> {
         Call::iter().find_map(|call| {
@@ -93,7 +88,8 @@
             let path = if place.ends_with('/') { format!("{place}name") } else { place.to_string() };
             assert_eq!(Call::at(&path).map(|found| found.0), Some(call));
             assert_eq!(Call::at(&format!("/x{path}")), None);
-            assert_eq!(call.orders(), call.method() == "POST");
+            let alters = matches!(call.rests(), Rests::Contact | Rests::Person);
+            assert_eq!(alters, call.method() == "POST");
         }
         assert_eq!(Call::at("/archlink/Evacuation.Begin/"), None);
         assert_eq!(Call::at("/archlink/Configuration.ReadX"), None);
--- a/harbourmaster/src/office.rs
+++ b/harbourmaster/src/office.rs
@@ -4,6 +4,7 @@
 use crate::calls::Call;
 use crate::port::Port;
 use crate::{looks, orders, voters};
+use fairway::departure::departure;
 use fairway::plain::{Answer, Asked, Request, ServerSide};
 use futures_util::{SinkExt, StreamExt};
 use serde_json::json;
@@ -19,6 +20,8 @@
 const MOST_BODY: usize = 16 << 20;
 const BODIES: f64 = 0.25;
 const IDLE: Duration = Duration::from_secs(20);
+/// Bytes that are read ahead of a caller that sends its next call early: a head's worth.
+const READ_AHEAD: usize = 16 * 1024;
 const MOST_CONNECTIONS: usize = 1500;
 /// When to come back after an answer that settles nothing.
 const COME_BACK: &str = "0.3";
@@ -50,14 +53,13 @@
                 let close = request.close;
                 let answer = match find(&request) {
                     Err(answer) => answer,
-                    Ok((call, _)) if call.orders() => tokio::select! {
+                    Ok((call, _)) => tokio::select! {
                         biased;
-                        // Looked at first, each time: an order whose caller is gone, or has sent more than it, is not begun,
-                        // and withdrawn where it was.
-                        _ = framed.next() => return,
+                        // Looked at first, each time: what a caller that is gone asked for is not begun, and an order
+                        // withdrawn where it was.
+                        _ = departure(&mut framed, READ_AHEAD) => return,
                         answer = respond(&port, call, &request) => answer,
                     },
-                    Ok((call, _)) => respond(&port, call, &request).await,
                 };
                 (answer, close)
             }
--- a/harbourmaster/src/tests.rs
+++ b/harbourmaster/src/tests.rs
@@ -4,7 +4,7 @@
 use crate::made_up::{NODES, Shelf, Sound, ask, configuration, pass, play, port, still};
 use crate::{office, orders};
 use signal::{Ballot, Held, Pilot, Poll, Register, Word};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::SocketAddrV4;
 use strum::IntoEnumIterator;
 use tokio::net::TcpListener;
@@ -133,6 +133,46 @@
     });
 }
 
+/// Serves one caller that sends `calls` at once, and for so many seconds at most; when that ended, and what was answered.
+async fn served(calls: &[u8], leaves: bool, seconds: u64) -> (f64, String) {
+    let gateway = port(NODES[0], Shelf::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    caller.write_all(calls).unwrap();
+    let kept = (!leaves).then_some(caller);
+    let (stream, _) = listener.accept().await.unwrap();
+    let began = gateway.clock.now();
+    let serving = office::serve(gateway.clone(), stream, Default::default(), Default::default());
+    tokio::time::timeout(std::time::Duration::from_secs(seconds), serving).await.ok();
+    let mut said = String::new();
+    kept.map(|mut caller| caller.read_to_string(&mut said).unwrap());
+    (gateway.clock.now() - began, said)
+}
+
+/// A read waits for a majority's word, for 0.9 s where none comes: not for a caller that has left. It did.
+#[test]
+fn a_read_ends_with_its_caller() {
+    play(async {
+        let read = b"GET /archlink/Configuration.Read HTTP/1.1\r\n\r\n";
+        let (took, _) = served(read, true, 3).await;
+        assert!(took < 0.1, "{took} s");
+        let (_, said) = served(read, false, 3).await;
+        assert!(said.starts_with("HTTP/1.1 503"), "{said}");
+    });
+}
+
+/// A caller that sends its next call early gets both answers. It was taken for one that had left.
+#[test]
+fn a_call_that_is_sent_early_is_kept() {
+    play(async {
+        let calls =
+            b"POST /archlink/Evacuation.Begin/east HTTP/1.1\r\n\r\nGET /archlink/members HTTP/1.1\r\n\r\n";
+        let (_, said) = served(calls, false, 15).await;
+        let statuses: Vec<&str> = said.split("HTTP/1.1 ").skip(1).map(|answer| &answer[..3]).collect();
+        assert_eq!(statuses, ["503", "200"], "{said}");
+    });
+}
+
 /// A process that stood still knows of sessions that are long over. It named their data gateways: what answers came in the
 /// 50 ms before its next tick was from before.
 #[test]
