--- a/pilot/src/voyage.rs
+++ b/data-plane/src/attempts.rs
@@ -108,7 +108,7 @@
 const DOUBT_GOAL: f64 = 0.6;
 const DOUBT_EXPECTED: f64 = 3.0;
 
-pub struct Voyage {
+pub struct Attempts {
     rules: Rules,
     sent: u32,
     unsent: u32,
@@ -116,9 +116,9 @@
     may_have_run: bool,
 }
 
-impl Voyage {
-    pub fn new(rules: Rules) -> Voyage {
-        Voyage { rules, sent: 0, unsent: 0, out: 0, may_have_run: false }
+impl Attempts {
+    pub fn new(rules: Rules) -> Attempts {
+        Attempts { rules, sent: 0, unsent: 0, out: 0, may_have_run: false }
     }
 
     /// Seconds after which a second host is asked beside a silent one; none where that may not be.
@@ -186,8 +186,8 @@
 mod tests {
     use super::*;
 
-    fn voyage(repeatable: bool) -> Voyage {
-        Voyage::new(Rules { repeatable, attempts: 2, goal: 0.4 })
+    fn attempts(repeatable: bool) -> Attempts {
+        Attempts::new(Rules { repeatable, attempts: 2, goal: 0.4 })
     }
 
     /// Over all ends in all orders: what may have run and may not be repeated never goes again and is never refused, and
@@ -197,14 +197,14 @@
         const ENDS: [Ended; 4] = [Ended::Failed, Ended::Declined, Ended::Unsent, Ended::Lost];
         for repeatable in [false, true] {
             for code in 0..4_usize.pow(6) {
-                let (mut voyage, mut ran, mut arrived) = (voyage(repeatable), false, 0);
+                let (mut attempts, mut ran, mut arrived) = (attempts(repeatable), false, 0);
                 for n in 0..6 {
                     let how = ENDS[code / 4_usize.pow(n) % 4];
-                    voyage.begins();
+                    attempts.begins();
                     assert!(!ran || repeatable);
                     arrived += u32::from(how != Ended::Unsent);
                     ran |= matches!(how, Ended::Failed | Ended::Lost);
-                    match voyage.ended(how, 1.0) {
+                    match attempts.ended(how, 1.0) {
                         Next::Again { .. } => continue,
                         Next::GiveUp(last) => assert_eq!(last == Final::Unknown, ran),
                         Next::Relay => assert_eq!(how, Ended::Failed),
@@ -242,13 +242,13 @@
             (own(404), relay, relay),
         ] {
             for (repeatable, next) in [(true, repeated), (false, once)] {
-                let mut voyage = voyage(repeatable);
-                voyage.begins();
-                assert_eq!(voyage.ended(came.ended(repeatable), 1.0), next, "{came:?}, {repeatable}");
+                let mut attempts = attempts(repeatable);
+                attempts.begins();
+                assert_eq!(attempts.ended(came.ended(repeatable), 1.0), next, "{came:?}, {repeatable}");
                 let never_ran =
                     came.ended(repeatable) == Ended::Declined || came.ended(repeatable) == Ended::Unsent;
                 assert_eq!(
-                    matches!(voyage.no_more(), Final::ComeBack(_)),
+                    matches!(attempts.no_more(), Final::ComeBack(_)),
                     never_ran || next == relay && came != own(500)
                 );
             }
@@ -260,17 +260,17 @@
     fn no_end_leads_to_another_host_where_nobody_waits() {
         for repeatable in [false, true] {
             for how in [Ended::Honoured, Ended::Failed, Ended::Declined, Ended::Unsent, Ended::Lost] {
-                let mut voyage = voyage(repeatable);
-                voyage.begins();
-                assert!(!matches!(voyage.ended(how, 0.0), Next::Again { .. } | Next::Wait), "{how:?}");
+                let mut attempts = attempts(repeatable);
+                attempts.begins();
+                assert!(!matches!(attempts.ended(how, 0.0), Next::Again { .. } | Next::Wait), "{how:?}");
             }
         }
     }
 
     #[test]
     fn a_silent_host_is_doubted_only_where_the_request_may_be_repeated() {
-        assert_eq!(voyage(false).doubt_after(0.1), None);
-        let mut twice = voyage(true);
+        assert_eq!(attempts(false).doubt_after(0.1), None);
+        let mut twice = attempts(true);
         assert_eq!(twice.doubt_after(0.1), Some(0.1 * DOUBT_EXPECTED));
         twice.begins();
         twice.begins();
--- a/pilot/src/front.rs
+++ b/data-plane/src/front.rs
@@ -2,7 +2,7 @@
 //! listening socket and its bounds. Must never end a connection on which a request waits.
 
 use crate::client::Client;
-use crate::deck::Deck;
+use crate::gateway::Gateway;
 use crate::request;
 use fairway::departure::{Departure, departure};
 use fairway::plain::{Answer, Asked, Request, ServerSide};
@@ -33,7 +33,7 @@
 const READ_AHEAD: usize = 16 * 1024;
 
 pub struct Front {
-    pub deck: Rc<Deck>,
+    pub gateway: Rc<Gateway>,
     pub stage: watch::Receiver<Stage>,
     /// Bytes left for large bodies.
     pub room: Rc<Cell<usize>>,
@@ -88,7 +88,7 @@
     let mut stage = front.stage.clone();
     loop {
         let limits =
-            front.deck.chart().map_or((3.0, 15.0), |chart| (chart.header_timeout, chart.idle_timeout));
+            front.gateway.chart().map_or((3.0, 15.0), |chart| (chart.header_timeout, chart.idle_timeout));
         let idle = Duration::from_secs_f64((limits.0 + limits.1).clamp(1.0, 600.0));
         let asked = tokio::select! {
             biased;
@@ -107,7 +107,7 @@
             Some(Departure::Reset) => return,
             // One that only ended its sending still reads.
             Some(Departure::Closed) => answer.close = true,
-            None => front.deck.metrics.answered(answer.status),
+            None => front.gateway.metrics.answered(answer.status),
         }
         answer.close |= close || answer.status == 400 || *front.stage.borrow() != Stage::Serving;
         let ends = answer.close;
@@ -131,7 +131,7 @@
 async fn attend(front: &Front, framed: &mut Framed<TcpStream, ServerSide>, request: Request) -> Attended {
     let (close, id) = (request.close, request.fields[request::ATTEMPT_ID].once().map(str::to_string));
     let client = Client::new();
-    let mut respond = pin!(request::respond(&front.deck, request, &client));
+    let mut respond = pin!(request::respond(&front.gateway, request, &client));
     let (answer, departure) = tokio::select! {
         biased;
         departure = departure(framed, READ_AHEAD) => {
--- a/pilot/src/deck.rs
+++ b/data-plane/src/gateway.rs
@@ -25,7 +25,7 @@
 /// A client refused without a count is told to come back when there may be a counter again.
 const UNCOUNTED_WAIT: f64 = 0.3;
 
-pub struct Deck {
+pub struct Gateway {
     pub settings: Settings,
     pub clock: Clock,
     pub kept: Rc<Kept<CallerSide>>,
@@ -48,14 +48,14 @@
     pub turned: Notify,
 }
 
-impl Deck {
-    pub fn new(settings: Settings, clock: Clock, kept: Rc<Kept<CallerSide>>) -> Rc<Deck> {
+impl Gateway {
+    pub fn new(settings: Settings, clock: Clock, kept: Rc<Kept<CallerSide>>) -> Rc<Gateway> {
         let bounds = settings.bounds;
         let cold = ColdRule { overrun: bounds.cold_overrun, slack: bounds.cold_slack };
         let me = mooring::node_of(settings.ip);
         let (zone, region, zones) = (settings.zone.clone(), settings.region.clone(), settings.zones.clone());
         let berth = Berth::new(me, zone, region, zones, cold, mooring::chance());
-        Rc::new(Deck {
+        Rc::new(Gateway {
             clock,
             kept,
             views: RefCell::new(Views::new(bounds.revoke - REVOKE_MARGIN)),
@@ -209,7 +209,7 @@
         };
         let Some(id) = asked else { return Ok(()) };
         self.settle();
-        let gone = Gone { deck: self, id };
+        let gone = Gone { gateway: self, id };
         let verdict = verdict.await;
         drop(gone);
         match verdict {
@@ -292,14 +292,14 @@
 
 /// A client that leaves before the verdict gives its inquiry's place back.
 struct Gone<'a> {
-    deck: &'a Deck,
+    gateway: &'a Gateway,
     id: u32,
 }
 
 impl Drop for Gone<'_> {
     fn drop(&mut self) {
-        if self.deck.verdicts.borrow_mut().remove(&self.id).is_some() {
-            self.deck.asker.borrow_mut().left(self.deck.fleet_clock(), self.id);
+        if self.gateway.verdicts.borrow_mut().remove(&self.id).is_some() {
+            self.gateway.asker.borrow_mut().left(self.gateway.fleet_clock(), self.id);
         }
     }
 }
--- a/pilot/src/hand_off.rs
+++ b/data-plane/src/hand_off.rs
@@ -3,10 +3,10 @@
 //! its end whoever still waits for it. Owns the host protocol's names. Must never try twice, nor take for an answer what does
 //! not carry the request's own id, the host's seal and its whole body.
 
+use crate::attempts::Came;
 use crate::client::Client;
-use crate::deck::Deck;
+use crate::gateway::Gateway;
 use crate::metrics::DepartedEnd;
-use crate::voyage::Came;
 use berth::choice::{Chosen, End};
 use fairway::kept::Line;
 use fairway::plain::{CallerSide, Reply, Request, Sending};
@@ -28,7 +28,7 @@
 const MOST_SURPLUS: usize = 4;
 
 /// A client's request as it goes to hosts.
-pub struct Cargo {
+pub struct Outgoing {
     pub request: Request,
     pub id: String,
     /// Header lines beside those that differ from host to host.
@@ -46,7 +46,7 @@
     pub service: String,
     /// When the request's time is up.
     pub until: Instant,
-    pub cargo: Rc<Cargo>,
+    pub outgoing: Rc<Outgoing>,
 }
 
 /// What came of a hand-off.
@@ -69,41 +69,46 @@
 
 /// A connection to the host, kept or new.
 async fn connect(
-    deck: &Deck,
+    gateway: &Gateway,
     to: &Chosen,
     client: &Client,
     until: Instant,
 ) -> Result<Line<CallerSide>, Broken> {
-    if let Some(line) = deck.kept.take(to.key, to.address.into()) {
+    if let Some(line) = gateway.kept.take(to.key, to.address.into()) {
         return Ok(line);
     }
-    let opened = timeout_at(until, deck.kept.open(to.address.into())).await;
+    let opened = timeout_at(until, gateway.kept.open(to.address.into())).await;
     let line = opened.map_err(|_| nowhere(io::ErrorKind::TimedOut))?.map_err(|e| (Came::Nowhere, e))?;
     client.look_again().await;
     Ok(line)
 }
 
-async fn exchange(deck: &Deck, to: &Chosen, cargo: &Cargo, until: Instant) -> Result<Reply, Broken> {
-    let Cargo { client, .. } = cargo;
+async fn exchange(
+    gateway: &Gateway,
+    to: &Chosen,
+    outgoing: &Outgoing,
+    until: Instant,
+) -> Result<Reply, Broken> {
+    let Outgoing { client, .. } = outgoing;
     let left = |came: Came| (came, io::Error::other("its client has left"));
-    let connected = client.unless_departed(connect(deck, to, client, until)).await;
+    let connected = client.unless_departed(connect(gateway, to, client, until)).await;
     let line = connected.unwrap_or_else(|| Err(left(Came::Withdrawn)))?;
     if client.has_departed() {
-        deck.kept.put_back(to.key, line);
+        gateway.kept.put_back(to.key, line);
         return Err(left(Came::Withdrawn));
     }
     // A new connection took its time: what is no longer allowed is not sent.
-    if !deck.berth.borrow().still(to.key) || Instant::now() >= until {
+    if !gateway.berth.borrow().still(to.key) || Instant::now() >= until {
         return Err(nowhere(io::ErrorKind::Interrupted));
     }
     let remaining = (until - Instant::now()).as_millis().max(1);
-    let mut lines = cargo.lines.clone();
+    let mut lines = outgoing.lines.clone();
     let own = format!("Time-Remaining: {remaining}\r\nTarget-Instance: {}\r\n", to.id);
     lines.extend_from_slice(own.as_bytes());
-    let Request { method, target, body, .. } = &cargo.request;
-    let sending = Sending { method, target, host: &cargo.origin, lines: &lines, body };
-    let spoken = speak(deck, to.key, line, sending, &cargo.id);
-    if cargo.repeatable {
+    let Request { method, target, body, .. } = &outgoing.request;
+    let sending = Sending { method, target, host: &outgoing.origin, lines: &lines, body };
+    let spoken = speak(gateway, to.key, line, sending, &outgoing.id);
+    if outgoing.repeatable {
         let spoken = client.unless_departed(spoken).await;
         spoken.unwrap_or_else(|| Err(left(Came::Abandoned)))
     } else {
@@ -124,7 +129,7 @@
 /// One request and its answer. The connection is kept after its own whole answer alone, and only if nothing else came
 /// before it or with it; in all other ends, and when nobody waits for it any more, it closes with this call.
 async fn speak(
-    deck: &Deck,
+    gateway: &Gateway,
     key: u64,
     mut line: Line<CallerSide>,
     sending: Sending<'_>,
@@ -150,7 +155,7 @@
             return Err(unfit("an answer without its seal"));
         }
         if reply.keep && surplus == 0 && line.framed.read_buffer().is_empty() {
-            deck.kept.keep(key, line, reply.idle);
+            gateway.kept.keep(key, line, reply.idle);
         }
         return Ok(reply);
     }
@@ -158,10 +163,10 @@
 }
 
 /// Carries one hand-off to its end, tells the berth, and whoever still waits.
-pub async fn carry(deck: Rc<Deck>, order: HandOff, done: mpsc::Sender<Outcome>) {
-    let HandOff { to, service, until, cargo } = order;
-    let began = deck.clock.now();
-    let ended = timeout_at(until, exchange(&deck, &to, &cargo, until)).await;
+pub async fn carry(gateway: Rc<Gateway>, order: HandOff, done: mpsc::Sender<Outcome>) {
+    let HandOff { to, service, until, outgoing } = order;
+    let began = gateway.clock.now();
+    let ended = timeout_at(until, exchange(&gateway, &to, &outgoing, until)).await;
     let (came, end, reply) = match ended {
         Ok(Ok(reply)) => {
             let load = reply.fields[SERVER_LOAD].once().and_then(load);
@@ -187,18 +192,18 @@
         Err(_) => (Came::TimeUp, End::Silent, None),
     };
     if end == End::Unreached || end == End::Silent {
-        deck.kept.forget(to.key);
+        gateway.kept.forget(to.key);
     }
-    if let Some(after) = cargo.client.gone_for() {
+    if let Some(after) = outgoing.client.gone_for() {
         let how = match came {
             Came::Withdrawn => DepartedEnd::Withdrawn,
             Came::Abandoned => DepartedEnd::BrokenOff,
             _ => DepartedEnd::Finished,
         };
-        deck.metrics.departed_hand_off(&service, how, after);
+        gateway.metrics.departed_hand_off(&service, how, after);
     }
-    let now = deck.clock.now();
-    deck.berth.borrow_mut().ended(now, to.key, now - began, end);
+    let now = gateway.clock.now();
+    gateway.berth.borrow_mut().ended(now, to.key, now - began, end);
     done.try_send(Outcome { came, reply }).ok();
 }
 
--- a/pilot/src/lib.rs
+++ b/data-plane/src/lib.rs
@@ -2,9 +2,10 @@
 //! part in a decision.
 #![forbid(unsafe_code)]
 
+mod attempts;
 mod client;
-mod deck;
 mod front;
+mod gateway;
 mod hand_off;
 mod metrics;
 mod request;
@@ -12,14 +13,13 @@
 mod status;
 #[cfg(test)]
 mod tests;
-mod voyage;
 
 use chart::Settings;
-use deck::Deck;
 use error_stack::{Report, ResultExt};
 use fairway::kept::Kept;
 use fairway::plain::CallerSide;
 use front::{Front, Stage};
+use gateway::Gateway;
 use mooring::Clock;
 use std::cell::Cell;
 use std::fmt;
@@ -50,44 +50,44 @@
 
 /// Why the program does not start.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PilotError {
+pub enum DataPlaneError {
     /// The settings file can't be read or is wrong.
     Settings,
     /// An address can't be listened on, or the system refuses what a server needs.
     Start,
 }
 
-impl fmt::Display for PilotError {
+impl fmt::Display for DataPlaneError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            PilotError::Settings => "the settings file can't be used",
-            PilotError::Start => "the data gateway can't start",
+            DataPlaneError::Settings => "the settings file can't be used",
+            DataPlaneError::Start => "the data gateway can't start",
         })
     }
 }
 
-impl std::error::Error for PilotError {}
+impl std::error::Error for DataPlaneError {}
 
-pub type Outcome<T> = Result<T, Report<PilotError>>;
+pub type Outcome<T> = Result<T, Report<DataPlaneError>>;
 
 /// The settings file that `ARCHLINK_CONFIG` names, checked.
 pub fn read_settings() -> Outcome<Settings> {
-    let text = mooring::settings_text().change_context(PilotError::Settings)?;
-    Settings::read(&text).change_context(PilotError::Settings)
+    let text = mooring::settings_text().change_context(DataPlaneError::Settings)?;
+    Settings::read(&text).change_context(DataPlaneError::Settings)
 }
 
 async fn bind(address: Option<SocketAddr>, key: &'static str) -> Outcome<TcpListener> {
     let address =
-        address.ok_or_else(|| Report::new(PilotError::Settings).attach(format!("{key}: missing")))?;
+        address.ok_or_else(|| Report::new(DataPlaneError::Settings).attach(format!("{key}: missing")))?;
     TcpListener::bind(address)
         .await
-        .change_context(PilotError::Start)
+        .change_context(DataPlaneError::Start)
         .attach_with(|| format!("{key}: {address}"))
 }
 
 /// Figures for operators at that port of the machine's own address. A port that is taken costs the figures and nothing else.
 async fn tell_metrics(front: Rc<Front>, port: u16) {
-    let address = SocketAddr::new(front.deck.settings.ip.into(), port);
+    let address = SocketAddr::new(front.gateway.settings.ip.into(), port);
     match TcpListener::bind(address).await {
         Ok(listener) => status::metrics(front, listener).await,
         Err(e) => log::warn!("no metrics at {address}: {e}"),
@@ -108,19 +108,19 @@
     let grace = if settings.bounds.grace.is_finite() { settings.bounds.grace } else { GRACE };
     let (stage, stages) = watch::channel(Stage::Serving);
     let most = places(CLIENTS);
-    let deck = Deck::new(settings, clock, kept.clone());
+    let gateway = Gateway::new(settings, clock, kept.clone());
     let (open, at_work) = (Cell::new(0), Cell::new(0));
-    let front = Rc::new(Front { deck: deck.clone(), stage: stages, room, most, open, at_work });
-    spawn_local(session::keep(deck.clone()));
-    spawn_local(session::count(deck.clone()));
-    let waking = deck.clone();
+    let front = Rc::new(Front { gateway: gateway.clone(), stage: stages, room, most, open, at_work });
+    spawn_local(session::keep(gateway.clone()));
+    spawn_local(session::count(gateway.clone()));
+    let waking = gateway.clone();
     spawn_local(async move { waking.keep_waking().await });
     spawn_local(status::readiness(front.clone(), ready));
     if let Some(port) = metrics {
         spawn_local(tell_metrics(front.clone(), port));
     }
     let listening = spawn_local(front::listen(front.clone(), clients));
-    let swept = deck.clone();
+    let swept = gateway.clone();
     spawn_local(async move {
         for second in 1_u64.. {
             sleep(Duration::from_secs(1)).await;
@@ -132,12 +132,12 @@
             }
         }
     });
-    log::info!("data gateway {} is up", deck.settings.name);
+    log::info!("data gateway {} is up", gateway.settings.name);
     until.await;
     log::info!("leaving");
     let began = Instant::now();
-    deck.leaving.set(true);
-    deck.turned.notify_waiters();
+    gateway.leaving.set(true);
+    gateway.turned.notify_waiters();
     stage.send(Stage::Leaving).ok();
     sleep(Duration::from_secs_f64(grace * TAKE_ON)).await;
     stage.send(Stage::Closed).ok();
--- a/pilot/src/main.rs
+++ b/data-plane/src/main.rs
@@ -1,8 +1,8 @@
-//! archlink-pilot: the data plane's program. Owns the command line and the signals. Must never look into a request or take
+//! archlink-data-plane: the data plane's program. Owns the command line and the signals. Must never look into a request or take
 //! part in a decision.
 #![forbid(unsafe_code)]
 
-use archlink_pilot::{Outcome, PilotError, read_settings, serve};
+use archlink_data_plane::{DataPlaneError, Outcome, read_settings, serve};
 use clap::{Arg, Command, value_parser};
 use error_stack::ResultExt;
 use mooring::until_told;
@@ -22,9 +22,9 @@
     mooring::log_to_stderr(&settings.name, level.unwrap_or(log::LevelFilter::Info));
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime =
-        builder.enable_all().build_local(LocalOptions::default()).change_context(PilotError::Start)?;
+        builder.enable_all().build_local(LocalOptions::default()).change_context(DataPlaneError::Start)?;
     runtime.block_on(async {
-        serve(settings, metrics, until_told(read_again).change_context(PilotError::Start)?).await
+        serve(settings, metrics, until_told(read_again).change_context(DataPlaneError::Start)?).await
     })?;
     std::process::exit(0)
 }
@@ -36,10 +36,11 @@
         .value_name("PORT")
         .value_parser(value_parser!(u16).range(1..))
         .help("Tells own figures as OpenMetrics text at http://IpAddress:PORT/metrics");
-    let command = Command::new("archlink-pilot").version(env!("CARGO_PKG_VERSION")).about(about).arg(metrics);
+    let command =
+        Command::new("archlink-data-plane").version(env!("CARGO_PKG_VERSION")).about(about).arg(metrics);
     let given = command.get_matches();
     if let Err(e) = begin(given.get_one("metrics-port").copied()) {
-        eprintln!("archlink-pilot: {}", mooring::told(&e));
+        eprintln!("archlink-data-plane: {}", mooring::told(&e));
         std::process::exit(2);
     }
 }
--- a/pilot/src/request.rs
+++ b/data-plane/src/request.rs
@@ -2,10 +2,10 @@
 //! client protocol's names and the order of these questions. Must never send on what an earlier question refused, and
 //! answers what is refused at once.
 
+use crate::attempts::{Attempts, Final, Next, Rules};
 use crate::client::Client;
-use crate::deck::Deck;
-use crate::hand_off::{Cargo, HandOff, Outcome, carry, relayed};
-use crate::voyage::{Final, Next, Rules, Voyage};
+use crate::gateway::Gateway;
+use crate::hand_off::{HandOff, Outcome, Outgoing, carry, relayed};
 use berth::choice::{Chosen, Door, Need};
 use chart::{Chart, Route, Tenant};
 use fairway::plain::{Answer, Field, Request};
@@ -50,7 +50,7 @@
 }
 
 /// The route and the tenant of a request, or the answer that it gets instead.
-fn place<'a>(deck: &Deck, chart: &'a Chart, request: &Request) -> Result<Asked<'a>, Answer> {
+fn place<'a>(gateway: &Gateway, chart: &'a Chart, request: &Request) -> Result<Asked<'a>, Answer> {
     let Some(origin) = request.host.once() else { return Err(Answer::plain(400)) };
     let path = request.target.split('?').next().unwrap_or("");
     let origin = origin
@@ -58,7 +58,7 @@
         .filter(|(_, port)| port.parse::<u16>().is_ok())
         .map_or(origin, |(name, _)| name);
     // Which routes and keys there are may have changed: who can't know says so.
-    let known = deck.vouched();
+    let known = gateway.vouched();
     let Some(number) = chart.route(origin, path) else {
         return Err(if known { Answer::plain(404) } else { come_back(503, SOON) });
     };
@@ -109,9 +109,9 @@
 }
 
 /// The answer to a request of that client.
-pub async fn respond(deck: &Rc<Deck>, request: Request, client: &Client) -> Answer {
-    let began = deck.clock.now();
-    let Some(chart) = deck.chart() else { return come_back(503, SOON) };
+pub async fn respond(gateway: &Rc<Gateway>, request: Request, client: &Client) -> Answer {
+    let began = gateway.clock.now();
+    let Some(chart) = gateway.chart() else { return come_back(503, SOON) };
     let (id, told) = match (&request.fields[ATTEMPT_ID], &request.fields[TIME_REMAINING]) {
         (Field::Once(id), Field::Once(told)) => (id.clone(), Some(told.parse::<f64>())),
         (Field::Once(id), Field::Absent) => (id.clone(), None),
@@ -125,13 +125,13 @@
     if request.body.len() > chart.most_body {
         return Answer::plain(413);
     }
-    let asked = match place(deck, &chart, &request) {
+    let asked = match place(gateway, &chart, &request) {
         Ok(asked) => asked,
         Err(answer) => return answer,
     };
     let left = told.min(asked.route.timeout).min(LONGEST);
-    let mut way = Way {
-        deck,
+    let mut selection = HostSelection {
+        gateway,
         homes: homes(asked.route, asked.tenant),
         services: services(asked.route),
         goal: asked.route.goal,
@@ -146,18 +146,18 @@
     let rules =
         Rules { repeatable: asked.route.repeatable, attempts: asked.route.attempts, goal: asked.route.goal };
     // Room first: a request that no host can take costs its tenant nothing.
-    if way.choose().is_none() {
-        return finally(Voyage::new(rules).no_more());
+    if selection.choose().is_none() {
+        return finally(Attempts::new(rules).no_more());
     }
     if let Some(tenant) = asked.tenant.filter(|tenant| tenant.rate > 0.0) {
-        match client.unless_departed(deck.admit(tenant, left)).await {
+        match client.unless_departed(gateway.admit(tenant, left)).await {
             Some(Ok(())) => client.look_again().await,
             Some(Err(wait)) => return come_back(429, wait),
             // The question is taken back with the wait for its answer.
-            None => return way.abandoned(Voyage::new(rules).no_more()),
+            None => return selection.abandoned(Attempts::new(rules).no_more()),
         }
     }
-    way.door = None;
+    selection.door = None;
     let mut lines = request.passed.clone();
     lines.extend_from_slice(format!("Attempt-Id: {id}\r\n").as_bytes());
     if let Some(tenant) = asked.tenant {
@@ -165,8 +165,8 @@
     }
     let origin = request.host.once().unwrap_or("").to_string();
     let repeatable = rules.repeatable;
-    let cargo = Rc::new(Cargo { request, id, lines, origin, client: client.clone(), repeatable });
-    sail(&mut way, Voyage::new(rules), &cargo, &asked).await
+    let outgoing = Rc::new(Outgoing { request, id, lines, origin, client: client.clone(), repeatable });
+    forward(&mut selection, Attempts::new(rules), &outgoing, &asked).await
 }
 
 fn finally(last: Final) -> Answer {
@@ -176,8 +176,8 @@
     }
 }
 
-struct Way<'a> {
-    deck: &'a Rc<Deck>,
+struct HostSelection<'a> {
+    gateway: &'a Rc<Gateway>,
     homes: Option<Vec<String>>,
     services: Vec<&'a str>,
     goal: f64,
@@ -188,12 +188,12 @@
     door: Option<Door>,
 }
 
-impl Way<'_> {
+impl HostSelection<'_> {
     /// A host for it, and its service; the one that the weights drew first.
     fn choose(&self) -> Option<(Chosen, &str)> {
         let homes = self.homes.as_deref()?;
-        let now = self.deck.clock.now();
-        let mut berth = self.deck.berth.borrow_mut();
+        let now = self.gateway.clock.now();
+        let mut berth = self.gateway.berth.borrow_mut();
         self.services.iter().find_map(|service| {
             let need = Need {
                 service,
@@ -209,47 +209,52 @@
 
     /// The client left: its request ends so.
     fn abandoned(&self, last: Final) -> Answer {
-        self.deck.metrics.client_departed(self.services[0]);
+        self.gateway.metrics.client_departed(self.services[0]);
         finally(last)
     }
 }
 
-async fn sail(way: &mut Way<'_>, mut voyage: Voyage, cargo: &Rc<Cargo>, asked: &Asked<'_>) -> Answer {
+async fn forward(
+    selection: &mut HostSelection<'_>,
+    mut attempts: Attempts,
+    outgoing: &Rc<Outgoing>,
+    asked: &Asked<'_>,
+) -> Answer {
     const MOST_OUT: usize = 8;
-    let (deck, client) = (way.deck.clone(), &cargo.client);
-    let until = deck.clock.instant(way.until);
+    let (gateway, client) = (selection.gateway.clone(), &outgoing.client);
+    let until = gateway.clock.instant(selection.until);
     let (sender, mut outcomes) = mpsc::channel::<Outcome>(MOST_OUT);
     let (mut go, mut paid) = (true, false);
     let mut doubt: Option<Instant> = None;
     let mut departed = false;
     loop {
-        if go && voyage.has_begun() {
+        if go && attempts.has_begun() {
             client.look_again().await;
         }
         if std::mem::take(&mut go) && !client.has_departed() {
             // What is true of keys is looked at again after each wait, a freeze of the machine among them.
-            let allowed = asked.tenant.is_none() || deck.vouched();
+            let allowed = asked.tenant.is_none() || gateway.vouched();
             let chosen =
-                way.choose().filter(|_| allowed).map(|(chosen, service)| (chosen, service.to_string()));
-            let chosen = chosen.filter(|(_, service)| !paid || deck.budget.borrow_mut().take(service));
+                selection.choose().filter(|_| allowed).map(|(chosen, service)| (chosen, service.to_string()));
+            let chosen = chosen.filter(|(_, service)| !paid || gateway.budget.borrow_mut().take(service));
             match chosen {
                 Some((to, service)) => {
-                    let now = deck.clock.now();
+                    let now = gateway.clock.now();
                     if !paid {
-                        deck.budget.borrow_mut().earn(&deck.budget_rule(), &service, deck.pilots());
+                        gateway.budget.borrow_mut().earn(&gateway.budget_rule(), &service, gateway.pilots());
                     }
-                    doubt = voyage.doubt_after(to.expected).map(|after| deck.clock.instant(now + after));
-                    voyage.begins();
-                    if voyage.doubt_after(0.0).is_none() {
+                    doubt = attempts.doubt_after(to.expected).map(|after| gateway.clock.instant(now + after));
+                    attempts.begins();
+                    if attempts.doubt_after(0.0).is_none() {
                         doubt = None;
                     }
-                    way.tried.push(to.key);
-                    deck.berth.borrow_mut().sent(now, to.key, way.goal);
-                    let order = HandOff { to, service, until, cargo: cargo.clone() };
-                    spawn_local(carry(deck.clone(), order, sender.clone()));
+                    selection.tried.push(to.key);
+                    gateway.berth.borrow_mut().sent(now, to.key, selection.goal);
+                    let order = HandOff { to, service, until, outgoing: outgoing.clone() };
+                    spawn_local(carry(gateway.clone(), order, sender.clone()));
                 }
-                None if voyage.waits() => doubt = None,
-                None => return finally(voyage.no_more()),
+                None if attempts.waits() => doubt = None,
+                None => return finally(attempts.no_more()),
             }
         }
         let doubted = doubt.unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
@@ -257,20 +262,20 @@
             biased;
             _ = client.departed(), if !departed => {
                 (departed, doubt) = (true, None);
-                let last = way.abandoned(voyage.no_more());
+                let last = selection.abandoned(attempts.no_more());
                 // A run that may not be repeated goes on, and its answer may still be read.
-                if cargo.repeatable || !voyage.waits() {
+                if outgoing.repeatable || !attempts.waits() {
                     return last;
                 }
             }
             outcome = outcomes.recv() => {
-                let Some(Outcome { came, reply }) = outcome else { return finally(voyage.no_more()) };
-                let how = came.ended(cargo.repeatable);
-                let left = if client.has_departed() { 0.0 } else { way.until - deck.clock.now() };
-                match voyage.ended(how, left) {
+                let Some(Outcome { came, reply }) = outcome else { return finally(attempts.no_more()) };
+                let how = came.ended(outgoing.repeatable);
+                let left = if client.has_departed() { 0.0 } else { selection.until - gateway.clock.now() };
+                match attempts.ended(how, left) {
                     Next::Relay => match reply {
                         Some(reply) => return relayed(reply),
-                        None => return finally(voyage.no_more()),
+                        None => return finally(attempts.no_more()),
                     },
                     Next::Again { paid: costs } => (go, paid) = (true, costs),
                     Next::Wait => {}
--- a/pilot/src/session.rs
+++ b/data-plane/src/session.rs
@@ -2,7 +2,7 @@
 //! Owns them; when to call, hail, pull and leave is `bridge::session`'s to say. Must never take an answer for a question
 //! that it does not belong to.
 
-use crate::deck::Deck;
+use crate::gateway::Gateway;
 use bridge::session::{Act, Place, Session};
 use chart::Settings;
 use futures_util::{Stream, StreamExt};
@@ -36,13 +36,13 @@
 }
 
 /// Keeps a session for as long as this process lives.
-pub async fn keep(deck: Rc<Deck>) {
+pub async fn keep(gateway: Rc<Gateway>) {
     let mut alone_since = Instant::now();
     let mut session = Session::new(Place {
-        node: mooring::node_of(deck.settings.ip),
-        zone: deck.settings.zone.clone(),
-        region: deck.settings.region.clone(),
-        seeds: seeds(&deck.settings),
+        node: mooring::node_of(gateway.settings.ip),
+        zone: gateway.settings.zone.clone(),
+        region: gateway.settings.region.clone(),
+        seeds: seeds(&gateway.settings),
     });
     let mut line: Option<(Out, Words)> = None;
     loop {
@@ -52,9 +52,9 @@
             alone_since = Instant::now();
             seeds_now().into_iter().for_each(|seeds| session.set_seeds(seeds));
         }
-        let acts = session.tick(deck.clock.now(), &deck.views.borrow(), || deck.pilot());
-        perform(&deck, &mut session, &mut line, acts).await;
-        let until = deck.clock.instant(session.wake_at().min(1e6));
+        let acts = session.tick(gateway.clock.now(), &gateway.views.borrow(), || gateway.pilot());
+        perform(&gateway, &mut session, &mut line, acts).await;
+        let until = gateway.clock.instant(session.wake_at().min(1e6));
         let word = async {
             match &mut line {
                 Some((_, words)) => words.next().await,
@@ -63,11 +63,11 @@
         };
         let acts = tokio::select! {
             word = word => {
-                let now = deck.clock.now();
+                let now = gateway.clock.now();
                 match word {
                     Some(Ok(word)) => {
-                        let (acts, turns) = session.hear(now, word, &mut deck.views.borrow_mut());
-                        deck.turn(turns);
+                        let (acts, turns) = session.hear(now, word, &mut gateway.views.borrow_mut());
+                        gateway.turn(turns);
                         acts
                     }
                     Some(Err(e)) => session.lost(now, &e.to_string()),
@@ -75,31 +75,31 @@
                 }
             }
             _ = sleep_until(until) => continue,
-            _ = deck.turned.notified() => {
-                session.hurry(deck.clock.now());
+            _ = gateway.turned.notified() => {
+                session.hurry(gateway.clock.now());
                 continue;
             }
         };
-        perform(&deck, &mut session, &mut line, acts).await;
+        perform(&gateway, &mut session, &mut line, acts).await;
     }
 }
 
-async fn perform(deck: &Deck, session: &mut Session, line: &mut Option<(Out, Words)>, acts: Vec<Act>) {
+async fn perform(gateway: &Gateway, session: &mut Session, line: &mut Option<(Out, Words)>, acts: Vec<Act>) {
     let mut acts = std::collections::VecDeque::from(acts);
     while let Some(act) = acts.pop_front() {
         match act {
             Act::Call(node) => {
-                let called = mooring::call(mooring::address_of(node, deck.settings.port)).await;
+                let called = mooring::call(mooring::address_of(node, gateway.settings.port)).await;
                 let called = called.map(|framed| {
                     let (out, words) = split(framed, MOST_WORDS);
                     *line = Some((out, Box::pin(words)));
                 });
-                acts.extend(session.called(deck.clock.now(), called.map_err(|e| e.to_string())));
+                acts.extend(session.called(gateway.clock.now(), called.map_err(|e| e.to_string())));
             }
             Act::HangUp => *line = None,
             Act::Send(word) => {
                 if line.as_ref().is_some_and(|(out, _)| out.try_send(word).is_err()) {
-                    acts.extend(session.lost(deck.clock.now(), "it does not read"));
+                    acts.extend(session.lost(gateway.clock.now(), "it does not read"));
                 }
             }
             Act::Warn(text) => log::warn!("{text}"),
@@ -108,36 +108,36 @@
 }
 
 /// The connection to the holder of the counts, moved when that changes. Each question's answer names its number.
-pub async fn count(deck: Rc<Deck>) {
+pub async fn count(gateway: Rc<Gateway>) {
     let mut frames = Frames::default();
     loop {
-        deck.set_counted(false);
-        let Some(holder) = deck.counter() else {
-            fail_adds(&deck);
-            pause(&deck).await;
+        gateway.set_counted(false);
+        let Some(holder) = gateway.counter() else {
+            fail_adds(&gateway);
+            pause(&gateway).await;
             continue;
         };
-        match mooring::call(mooring::address_of(holder.0, deck.settings.port)).await {
+        match mooring::call(mooring::address_of(holder.0, gateway.settings.port)).await {
             Ok(framed) => {
                 let (out, words) = split(framed, MOST_WORDS);
-                talk(&deck, &mut frames, &out, Box::pin(words), holder).await;
-                deck.settled(frames.hang_up());
+                talk(&gateway, &mut frames, &out, Box::pin(words), holder).await;
+                gateway.settled(frames.hang_up());
             }
-            Err(_) => fail_adds(&deck),
+            Err(_) => fail_adds(&gateway),
         }
-        pause(&deck).await;
+        pause(&gateway).await;
     }
 }
 
 /// What can't be sent is not added.
-fn fail_adds(deck: &Deck) {
-    deck.settled(vec![Settled::NotAdded(deck.adds())]);
+fn fail_adds(gateway: &Gateway) {
+    gateway.settled(vec![Settled::NotAdded(gateway.adds())]);
 }
 
-async fn pause(deck: &Deck) {
+async fn pause(gateway: &Gateway) {
     let until = Instant::now() + AGAIN;
-    while timeout(until - Instant::now().min(until), deck.to_count.notified()).await.is_ok() {
-        fail_adds(deck);
+    while timeout(until - Instant::now().min(until), gateway.to_count.notified()).await.is_ok() {
+        fail_adds(gateway);
         if Instant::now() >= until {
             return;
         }
@@ -145,14 +145,14 @@
 }
 
 /// Sends one question; false where the connection does not take it.
-fn ask(deck: &Deck, frames: &mut Frames, out: &Out, term: u64, adds: Vec<Add>) -> bool {
-    match frames.ask(deck.clock.now(), adds) {
+fn ask(gateway: &Gateway, frames: &mut Frames, out: &Out, term: u64, adds: Vec<Add>) -> bool {
+    match frames.ask(gateway.clock.now(), adds) {
         Ok((serial, adds)) => {
-            let word = Word::Adds { serial, term, clock: deck.fleet_clock(), adds: adds.to_vec() };
+            let word = Word::Adds { serial, term, clock: gateway.fleet_clock(), adds: adds.to_vec() };
             out.try_send(word).is_ok()
         }
         Err(unsent) => {
-            deck.settled(vec![unsent]);
+            gateway.settled(vec![unsent]);
             true
         }
     }
@@ -160,41 +160,47 @@
 
 /// Asks and hears until the connection ends, another holds the counts, or this one is silent. What is out then is not
 /// settled.
-async fn talk(deck: &Deck, frames: &mut Frames, out: &Out, mut words: Words, (node, term): (Node, u64)) {
+async fn talk(
+    gateway: &Gateway,
+    frames: &mut Frames,
+    out: &Out,
+    mut words: Words,
+    (node, term): (Node, u64),
+) {
     /// Between two questions of nothing, while the holder does not count yet.
     const PROBE_EVERY: Duration = Duration::from_millis(60);
     let mut probe = Some(Instant::now());
-    while deck.counter() == Some((node, term)) || !frames.is_empty() {
-        let due = frames.silent_at().map(|at| deck.clock.instant(at));
+    while gateway.counter() == Some((node, term)) || !frames.is_empty() {
+        let due = frames.silent_at().map(|at| gateway.clock.instant(at));
         tokio::select! {
             word = words.next() => {
                 let Some(Ok(Word::Totals { serial, clock, totals })) = word else { return };
-                deck.heard_clock(clock);
-                let (heard, settled) = frames.hear(deck.clock.now(), serial, totals);
-                deck.settled(settled);
+                gateway.heard_clock(clock);
+                let (heard, settled) = frames.hear(gateway.clock.now(), serial, totals);
+                gateway.settled(settled);
                 match heard {
                     Heard::Answer { counts } => {
-                        deck.set_counted(counts);
+                        gateway.set_counted(counts);
                         probe = (!counts).then(|| Instant::now() + PROBE_EVERY);
                     }
                     Heard::Nobodys => log::warn!("totals to no question that is out: {serial}"),
                     Heard::Unfit => return log::warn!("totals that do not fit their question"),
                 }
             }
-            _ = deck.to_count.notified() => {
-                let adds = deck.adds();
-                if !adds.is_empty() && !ask(deck, frames, out, term, adds) {
+            _ = gateway.to_count.notified() => {
+                let adds = gateway.adds();
+                if !adds.is_empty() && !ask(gateway, frames, out, term, adds) {
                     return;
                 }
             }
             _ = sleep_until(probe.unwrap_or_else(Instant::now)), if probe.is_some() => {
                 probe = None;
-                if !ask(deck, frames, out, term, Vec::new()) {
+                if !ask(gateway, frames, out, term, Vec::new()) {
                     return;
                 }
             }
             _ = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => return,
-            _ = deck.turned.notified() => {}
+            _ = gateway.turned.notified() => {}
         }
     }
 }
--- a/pilot/src/status.rs
+++ b/data-plane/src/status.rs
@@ -24,7 +24,7 @@
 /// `GET /archlink/readiness`: 200 while clients can be sent here.
 pub async fn readiness(front: Rc<Front>, listener: TcpListener) {
     serve(front, listener, |front, path| match path {
-        READINESS => Answer::plain(if front.deck.ready() { 200 } else { 503 }),
+        READINESS => Answer::plain(if front.gateway.ready() { 200 } else { 503 }),
         _ => Answer::plain(404),
     })
     .await;
@@ -34,7 +34,7 @@
 pub async fn metrics(front: Rc<Front>, listener: TcpListener) {
     serve(front, listener, |front, path| match path {
         METRICS => {
-            let text = front.deck.metrics.text(front.open.get(), front.at_work.get());
+            let text = front.gateway.metrics.text(front.open.get(), front.at_work.get());
             let answer = Answer { status: 200, body: text.into(), ..Answer::default() };
             answer.with("Content-Type", METRICS_TYPE)
         }
--- a/pilot/src/tests/answers.rs
+++ b/data-plane/src/tests/answers.rs
@@ -6,11 +6,11 @@
 
 /// Two requests, one after the other.
 async fn play(script: [Habit; 2], repeatable: bool, body: usize) {
-    let (world, deck) = world(&script);
+    let (world, gateway) = world(&script);
     let millis = if script.iter().any(|habit| habit.silent()) { 90 } else { 20_000 };
     let target = if repeatable { "/read" } else { "/write" };
     for (n, id) in ["one", "two"].into_iter().enumerate() {
-        let answer = ask(&deck, target, id, millis, body).await;
+        let answer = ask(&gateway, target, id, millis, body).await;
         let ran: Vec<usize> =
             world.ran.borrow().iter().filter(|(own, _)| own == id).map(|(_, host)| *host).collect();
         let told = || format!("{script:?}, {repeatable}: {id} got {} and ran at {ran:?}", answer.status);
@@ -58,8 +58,8 @@
 
 /// Three requests of one client at once on one connection, and a client that leaves before its answers; then another one.
 async fn play_clients(script: [Habit; 3]) {
-    let (world, deck) = world(&script);
-    let (front, to, stage) = front(deck).await;
+    let (world, gateway) = world(&script);
+    let (front, to, stage) = front(gateway).await;
     let asks = |ids: &[&str]| -> String {
         let head =
             "POST /write HTTP/1.1\r\nHost: o\r\nTime-Remaining: 9000\r\nContent-Length: 2\r\nAttempt-Id: ";
--- a/pilot/src/tests/departures.rs
+++ b/data-plane/src/tests/departures.rs
@@ -24,14 +24,14 @@
 #[test]
 fn a_run_that_may_be_repeated_ends_with_its_client() {
     let play = async || {
-        let (world, deck) = world(&[Works]);
-        let (_front, to, _stage) = front(deck.clone()).await;
+        let (world, gateway) = world(&[Works]);
+        let (_front, to, _stage) = front(gateway.clone()).await;
         let client = client(to, "/read", "one", "").await;
         world.seen.notified().await;
-        let left = deck.clock.now();
+        let left = gateway.clock.now();
         drop(client);
         world.seen.notified().await;
-        let after = deck.clock.now() - left;
+        let after = gateway.clock.now() - left;
         assert_eq!(*world.broken_off.borrow(), ["one"]);
         assert!(after < f64::from(TIME) / 1e3 / 2.0, "the host worked on for {after} s");
     };
@@ -42,11 +42,11 @@
 #[test]
 fn nothing_goes_to_a_second_host_for_a_client_that_left() {
     let play = async |habit: Habit, repeatable: bool| {
-        let (world, deck) = world(&[habit]);
+        let (world, gateway) = world(&[habit]);
         let client = Client::new();
         world.leaver.replace(Some(client.clone()));
         let target = if repeatable { "/read" } else { "/write" };
-        ask_as(&deck, target, "one", 90, 10, &client).await;
+        ask_as(&gateway, target, "one", 90, 10, &client).await;
         for _ in 0..20 {
             yield_now().await;
         }
@@ -72,7 +72,7 @@
 /// What a test needs around a request that waits for the counter.
 struct Counted {
     world: Rc<World>,
-    deck: Rc<Deck>,
+    gateway: Rc<Gateway>,
     front: Rc<Front>,
     client: TcpStream,
     adds: Vec<Add>,
@@ -81,8 +81,8 @@
 
 /// A client whose request waits for the counter, with connections kept to both hosts, so that a grant sends it at once.
 async fn counted(target: &str) -> Counted {
-    let (world, deck) = world_of(&[Works, Works], KEYED);
-    let warm = [ask(&deck, "/open", "warm", TIME, 1), ask(&deck, "/open", "warmer", TIME, 1)];
+    let (world, gateway) = world_of(&[Works, Works], KEYED);
+    let warm = [ask(&gateway, "/open", "warm", TIME, 1), ask(&gateway, "/open", "warmer", TIME, 1)];
     let answered = async {
         while world.ran.borrow().len() < 2 {
             world.seen.notified().await;
@@ -91,15 +91,15 @@
     };
     futures_util::future::join(futures_util::future::join_all(warm), answered).await;
     world.ran.borrow_mut().clear();
-    deck.set_counted(true);
-    let (front, to, _stage) = front(deck.clone()).await;
+    gateway.set_counted(true);
+    let (front, to, _stage) = front(gateway.clone()).await;
     let client = client(to, target, "one", "Key: k\r\n").await;
     let mut adds = Vec::new();
     while adds.is_empty() {
         yield_now().await;
-        adds = deck.adds();
+        adds = gateway.adds();
     }
-    Counted { world, deck, front, client, adds, _stage }
+    Counted { world, gateway, front, client, adds, _stage }
 }
 
 async fn until(mut done: impl FnMut() -> bool) {
@@ -113,10 +113,10 @@
 #[test]
 fn a_grant_that_comes_with_the_clients_departure_hands_nothing_on() {
     let play = async |target: &'static str| {
-        let Counted { world, deck, front, client, adds, _stage } = counted(target).await;
+        let Counted { world, gateway, front, client, adds, _stage } = counted(target).await;
         drop(client);
         let totals = vec![1.0; adds.len()];
-        deck.settled(vec![Settled::Totals(adds, totals)]);
+        gateway.settled(vec![Settled::Totals(adds, totals)]);
         until(|| front.at_work.get() == 0).await;
         for _ in 0..20 {
             yield_now().await;
@@ -130,12 +130,12 @@
 #[test]
 fn a_client_that_leaves_while_it_is_counted_has_its_add_taken_back() {
     let play = async |target: &'static str| {
-        let Counted { world, deck, front, client, adds, _stage } = counted(target).await;
+        let Counted { world, gateway, front, client, adds, _stage } = counted(target).await;
         drop(client);
         until(|| front.at_work.get() == 0).await;
         let (name, added) = (adds[0].name, adds[0].amount);
-        deck.settled(vec![Settled::Totals(adds, vec![1.0])]);
-        let back: f32 = deck.adds().iter().filter(|add| add.name == name).map(|add| add.amount).sum();
+        gateway.settled(vec![Settled::Totals(adds, vec![1.0])]);
+        let back: f32 = gateway.adds().iter().filter(|add| add.name == name).map(|add| add.amount).sum();
         assert_eq!((added, back), (1.0, -1.0), "{target}");
         assert_eq!(*world.ran.borrow(), [], "{target}");
     };
@@ -146,18 +146,18 @@
 #[test]
 fn a_run_that_may_not_be_repeated_is_carried_to_its_end() {
     let play = async || {
-        let (world, deck) = world(&[Works]);
-        let (front, to, _stage) = front(deck.clone()).await;
+        let (world, gateway) = world(&[Works]);
+        let (front, to, _stage) = front(gateway.clone()).await;
         let client = client(to, "/write", "one", "").await;
         world.seen.notified().await;
         drop(client);
-        until(|| deck.metrics.text(0, 0).contains("client_departures_total{service=\"s\"} 1")).await;
+        until(|| gateway.metrics.text(0, 0).contains("client_departures_total{service=\"s\"} 1")).await;
         assert_eq!(front.at_work.get(), 1);
         world.finish.notify_waiters();
         until(|| front.at_work.get() == 0).await;
         assert_eq!(*world.broken_off.borrow(), [""; 0]);
-        assert!(deck.metrics.text(0, 0).contains("end=\"Finished\"} 1"));
-        assert_eq!(ask(&deck, "/write", "two", TIME, 10).await.status, 200);
+        assert!(gateway.metrics.text(0, 0).contains("end=\"Finished\"} 1"));
+        assert_eq!(ask(&gateway, "/write", "two", TIME, 10).await.status, 200);
     };
     run([play()], 1);
 }
@@ -175,20 +175,20 @@
         for _ in 0..20 {
             yield_now().await;
         }
-        let deck = deck(&[to], OPEN);
-        let (began, client) = (deck.clock.now(), Client::new());
+        let gateway = gateway(&[to], OPEN);
+        let (began, client) = (gateway.clock.now(), Client::new());
         let leaves = async {
             for _ in 0..20 {
                 yield_now().await;
             }
             client.depart();
         };
-        let asked = ask_as(&deck, target, "one", TIME, 10, &client);
+        let asked = ask_as(&gateway, target, "one", TIME, 10, &client);
         let (answer, ()) = futures_util::future::join(asked, leaves).await;
-        assert!(deck.clock.now() - began < f64::from(TIME) / 1e3 / 2.0, "{target}");
+        assert!(gateway.clock.now() - began < f64::from(TIME) / 1e3 / 2.0, "{target}");
         // For a client that only ended its sending: it has not run.
         assert_eq!(answer.status, if target == "/read" { 502 } else { 503 });
-        until(|| deck.metrics.text(0, 0).contains("end=\"Withdrawn\"} 1")).await;
+        until(|| gateway.metrics.text(0, 0).contains("end=\"Withdrawn\"} 1")).await;
         crowd.into_iter().for_each(|one| one.abort());
     };
     run([play("/read"), play("/write")], 1);
@@ -198,13 +198,13 @@
 #[test]
 fn a_client_that_only_ends_its_sending_is_answered_and_then_let_go() {
     let play = async |target: &'static str, status: &'static str, ran: &'static [(&'static str, usize)]| {
-        let (world, deck) = world(&[Works]);
-        let (_front, to, _stage) = front(deck.clone()).await;
+        let (world, gateway) = world(&[Works]);
+        let (_front, to, _stage) = front(gateway.clone()).await;
         let mut client = client(to, target, "one", "").await;
         client.write_all(text(target, "two", "").as_bytes()).await.unwrap();
         world.seen.notified().await;
         client.shutdown().await.unwrap();
-        until(|| deck.metrics.text(0, 0).contains("client_departures_total{service=\"s\"} 1")).await;
+        until(|| gateway.metrics.text(0, 0).contains("client_departures_total{service=\"s\"} 1")).await;
         world.finish.notify_waiters();
         let mut said = String::new();
         client.read_to_string(&mut said).await.unwrap();
--- a/pilot/src/tests/mod.rs
+++ b/data-plane/src/tests/mod.rs
@@ -5,8 +5,8 @@
 mod departures;
 
 use crate::client::Client;
-use crate::deck::Deck;
 use crate::front::{self, Front, Stage};
+use crate::gateway::Gateway;
 use crate::{hand_off, request};
 use bridge::views::Event;
 use chart::Settings;
@@ -221,14 +221,15 @@
         "Records": [["r", "o", "/read", "idempotent", 2, "s"], ["w", "o", "/write", "non_idempotent", 2, "s"]]},
     "ServiceTable": {"ColumnNames": ["Designation"], "Records": [["s"]]}}"#;
 
-fn deck(hosts: &[SocketAddr], chart: &str) -> Rc<Deck> {
+fn gateway(hosts: &[SocketAddr], chart: &str) -> Rc<Gateway> {
     let settings = r#"{"NodeName": "a", "IpAddress": "127.0.0.1", "Zone": "west", "Region": "coast",
         "Zones": {"west": "coast"}, "Listen": {}, "InternalPorts": [7600], "SeedNodes": [], "FirstStart": false,
         "Limits": {"MemoryMb": 256, "FileDescriptors": 1024}, "Cloud": {"RatePerS": 1},
         "TimingBounds": ["RetryBudgetRatio=100,RetryBudgetSlack=100"]}"#;
     let room = Rc::new(Cell::new(64 << 20));
     let codec = move || CallerSide::new(hand_off::READ, 1 << 20, room.clone());
-    let deck = Deck::new(Settings::read(settings).unwrap(), Clock::start(), Kept::new(64, 5.0, 5.0, codec));
+    let gateway =
+        Gateway::new(Settings::read(settings).unwrap(), Clock::start(), Kept::new(64, 5.0, 5.0, codec));
     let line = |(n, at): (usize, &SocketAddr)| HostLine {
         id: format!("host-{n}"),
         service: "s".into(),
@@ -245,28 +246,28 @@
         Piece::Pilots(vec![mooring::node_of([127, 0, 0, 1].into())]),
         Piece::Hosts(Hosts { term: 1, version: 1, lines }),
     ] {
-        let turns = deck.views.borrow_mut().append(deck.clock.now(), Event::Told(piece));
-        deck.turn(turns);
+        let turns = gateway.views.borrow_mut().append(gateway.clock.now(), Event::Told(piece));
+        gateway.turn(turns);
     }
     // Without a majority's word no configuration is in force.
     let vector = Vector { chart: 1, ..Vector::default() };
     let (posts, missing, muster) = (Vec::new(), Vec::new(), Muster::default());
     let beat =
         Beat { serial: 1, clock: 0.0, confirmed: Some(0.0), vector, posts, muster, whole: true, missing };
-    let now = deck.clock.now();
-    let turns = deck.views.borrow_mut().append(now, Event::Heard { beat, asked: Some(now) });
-    deck.turn(turns);
-    (0..2).for_each(|_| deck.budget.borrow_mut().earn(&deck.budget_rule(), "s", 1));
-    deck
+    let now = gateway.clock.now();
+    let turns = gateway.views.borrow_mut().append(now, Event::Heard { beat, asked: Some(now) });
+    gateway.turn(turns);
+    (0..2).for_each(|_| gateway.budget.borrow_mut().earn(&gateway.budget_rule(), "s", 1));
+    gateway
 }
 
 /// A whole request as the front hands it on. Silence takes `millis` at most.
-async fn ask(deck: &Rc<Deck>, target: &str, id: &str, millis: u32, body: usize) -> Answer {
-    ask_as(deck, target, id, millis, body, &Client::new()).await
+async fn ask(gateway: &Rc<Gateway>, target: &str, id: &str, millis: u32, body: usize) -> Answer {
+    ask_as(gateway, target, id, millis, body, &Client::new()).await
 }
 
 async fn ask_as(
-    deck: &Rc<Deck>,
+    gateway: &Rc<Gateway>,
     target: &str,
     id: &str,
     millis: u32,
@@ -278,15 +279,15 @@
     let (method, target, host) = ("POST".into(), target.into(), once("o"));
     let body = vec![b'x'; body].into();
     let request = Request { method, target, host, fields, passed: vec![], body, close: false, held: None };
-    request::respond(deck, request, client).await
+    request::respond(gateway, request, client).await
 }
 
 /// Two hosts that do what the script says, and a data gateway before them.
-fn world(script: &[Habit]) -> (Rc<World>, Rc<Deck>) {
+fn world(script: &[Habit]) -> (Rc<World>, Rc<Gateway>) {
     world_of(script, OPEN)
 }
 
-fn world_of(script: &[Habit], chart: &str) -> (Rc<World>, Rc<Deck>) {
+fn world_of(script: &[Habit], chart: &str) -> (Rc<World>, Rc<Gateway>) {
     let world = Rc::new(World {
         script: RefCell::new(script.iter().copied().collect()),
         ran: RefCell::default(),
@@ -307,7 +308,7 @@
         hosts.push(listener.local_addr().unwrap());
         spawn_local(listen(world.clone(), n, listener));
     }
-    (world, deck(&hosts, chart))
+    (world, gateway(&hosts, chart))
 }
 
 fn run<F: Future<Output = ()> + 'static>(plays: impl IntoIterator<Item = F>, at_once: usize) {
@@ -324,10 +325,10 @@
 }
 
 /// The data gateway's clients' side on a socket of its own, for as long as the sender lives.
-async fn front(deck: Rc<Deck>) -> (Rc<Front>, SocketAddr, watch::Sender<Stage>) {
+async fn front(gateway: Rc<Gateway>) -> (Rc<Front>, SocketAddr, watch::Sender<Stage>) {
     let (stage, stages) = watch::channel(Stage::Serving);
     let (room, open, at_work) = (Rc::new(Cell::new(1 << 20)), Cell::new(0), Cell::new(0));
-    let front = Rc::new(Front { deck, stage: stages, room, most: 8, open, at_work });
+    let front = Rc::new(Front { gateway, stage: stages, room, most: 8, open, at_work });
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let to = listener.local_addr().unwrap();
     spawn_local(front::listen(front.clone(), listener));
--- a/quay/src/lib.rs
+++ b/quay/src/lib.rs
@@ -268,7 +268,7 @@
             let settings = harbour.settings(n, false, false)?;
             let serve = move |stopped: oneshot::Receiver<()>| async move {
                 let until = async move { drop(stopped.await) };
-                archlink_pilot::serve(settings, None, until).await.map_err(|e| format!("{e:?}"))
+                archlink_data_plane::serve(settings, None, until).await.map_err(|e| format!("{e:?}"))
             };
             harbour.pilots.push(Some(Running::start(serve)));
         }
