--- a/data-plane/src/metrics.rs
+++ b/data-plane/src/metrics.rs
@@ -2,7 +2,7 @@
 //! process; names and units follow the OpenMetrics text format, by `prometheus-client`.
 
 use prometheus_client::encoding::text::encode;
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -10,7 +10,9 @@
 use prometheus_client::registry::{Registry, Unit};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::time::Duration;
+use strum::IntoStaticStr;
 
 /// Services that are told apart in labels: names of configurations that come and go must not fill the memory.
 const MOST_SERVICES: usize = 4096;
@@ -30,7 +32,8 @@
 }
 
 /// How a hand-off ended whose client had left.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum DepartedEnd {
     /// Nothing had been sent to the host, and nothing was.
     Withdrawn,
@@ -40,6 +43,13 @@
     Finished,
 }
 
+impl EncodeLabelValue for DepartedEnd {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        let name: &'static str = self.into();
+        name.encode(encoder)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DepartedLabel {
     service: String,
@@ -57,6 +67,7 @@
     longest: Duration,
 }
 
+/// The figures of one process.
 pub struct Metrics {
     registry: Registry,
     answers: Family<StatusLabel, Counter>,
@@ -75,6 +86,7 @@
 }
 
 impl Metrics {
+    /// All figures at zero.
     pub fn new() -> Metrics {
         let mut registry = Registry::with_prefix("archlink");
         let answers = Family::default();
--- a/data-plane/src/status.rs
+++ b/data-plane/src/status.rs
@@ -66,11 +66,15 @@
 async fn converse(front: &Front, stream: TcpStream, respond: Respond) {
     let mut framed = Framed::new(stream, ServerSide::new(&[], 0, front.room.clone()));
     while let Ok(Some(Ok(asked))) = timeout(IDLE, framed.next()).await {
-        let answer = match asked {
-            Asked::Request(request) => respond(front, request.target.split('?').next().unwrap_or("")),
-            Asked::Bad(status) => Answer::plain(status),
+        let (mut answer, close) = match asked {
+            Asked::Request(request) => {
+                let path = request.target.split('?').next().unwrap_or("");
+                (respond(front, path), request.close)
+            }
+            Asked::Bad(status) => (Answer::plain(status), true),
         };
-        if framed.send(answer).await.is_err() {
+        answer.close = close;
+        if framed.send(answer).await.is_err() || close {
             return;
         }
     }
--- a/data-plane/src/tests/mod.rs
+++ b/data-plane/src/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod departures;
+mod status;
 
 use crate::client::Client;
 use crate::front::{self, Front, Stage};
