--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -32,6 +32,8 @@
     work: Duration,
     queue: usize,
     record: Record,
+    /// Length of the body of an answer; a short text if 0.
+    pub reply_bytes: AtomicUsize,
     running: Mutex<usize>,
     slot_free: Condvar,
     waiting: AtomicUsize,
@@ -62,6 +64,7 @@
             work,
             queue: slots * 4,
             record: record.clone(),
+            reply_bytes: AtomicUsize::new(0),
             running: Mutex::new(0),
             slot_free: Condvar::new(),
             waiting: AtomicUsize::new(0),
@@ -129,7 +132,9 @@
         thread::sleep(self.work);
         *lock(&self.running) -= 1;
         self.slot_free.notify_one();
-        let body = format!("{} ran {id}", self.instance);
+        let mut body = format!("{} ran {id}", self.instance);
+        let length = self.reply_bytes.load(Ordering::SeqCst);
+        body.extend(std::iter::repeat_n('.', length.saturating_sub(body.len())));
         response("200 OK", &format!("Server-Seal: seal.{}.{id}\r\n", self.instance), &body)
     }
 }
