--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,4 +6,4 @@
 for needed in "$program" target/release/archlink-control-plane target/release/archlink-data-plane; do
     [ -x "$needed" ] || { echo "$needed is missing: run the build of the deploy file and review/build.sh"; exit 2; }
 done
-exec "$program" "$here" kill
+exec "$program" "$here" change
