Review case 6: a route to a service whose hosts are cold at first is never served

Looked for: figures of hosts that only answers can change, while the same figures decide whether anything is sent.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,8 +1,8 @@
 //! The cases.
 
+mod cold;
 mod counter;
 mod hang;
-mod memory;
 mod quota;
 
 use crate::Verdict;
@@ -11,9 +11,9 @@
 
 pub fn play(case: &str, record: Arc<Record>, trouble: bool) -> Verdict {
     match case {
+        "cold" => cold::play(record, trouble),
         "counter" => counter::play(record, trouble),
         "hang" => hang::play(record, trouble),
-        "memory" => memory::play(record, trouble),
         "quota" => quota::play(record, trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     }
--- a/review/standins-2/src/hosts.rs
+++ b/review/standins-2/src/hosts.rs
@@ -5,7 +5,7 @@
 use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -18,6 +18,15 @@
     pub address: SocketAddr,
     /// Milliseconds of work for each request.
     pub work_ms: AtomicU64,
+    /// Whether it works on `capacity` requests at a time only, queues four times as many, and turns others away as full.
+    pub bounded: AtomicBool,
+    slots: Mutex<(u32, u32)>,
+    freed: Condvar,
+    /// How long the host is cold after its start, and the second of that.
+    cold_s: f64,
+    started_at: Mutex<f64>,
+    /// Whether the platform lists it.
+    pub listed: AtomicBool,
     life: AtomicU64,
     dark: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
@@ -39,6 +48,12 @@
             capacity,
             address: listener.local_addr().unwrap(),
             work_ms: AtomicU64::new(work_ms),
+            bounded: AtomicBool::new(false),
+            slots: Mutex::new((0, 0)),
+            freed: Condvar::new(),
+            cold_s: 3.0,
+            started_at: Mutex::new(f64::NEG_INFINITY),
+            listed: AtomicBool::new(true),
             life: AtomicU64::new(1),
             dark: AtomicBool::new(false),
             connections: Mutex::default(),
@@ -60,6 +75,17 @@
         host
     }
 
+    /// The host starts during traffic: it is cold, and the platform lists it from now on.
+    pub fn start_cold(&self) {
+        *self.started_at.lock().unwrap() = self.record.seconds();
+        self.listed.store(true, Ordering::SeqCst);
+    }
+
+    /// Seconds for which the host is still cold; it works twice as long meanwhile.
+    fn cold_left(&self) -> f64 {
+        (*self.started_at.lock().unwrap() + self.cold_s - self.record.seconds()).max(0.0)
+    }
+
     pub fn instance(&self) -> String {
         format!("{}-{}", self.name, self.life.load(Ordering::SeqCst))
     }
@@ -110,6 +136,21 @@
         Some(())
     }
 
+    /// Waits for a slot; false if the queue is full.
+    fn take_slot(&self) -> bool {
+        let mut slots = self.slots.lock().unwrap();
+        if slots.0 >= self.capacity && slots.1 >= 4 * self.capacity {
+            return false;
+        }
+        slots.1 += 1;
+        while slots.0 >= self.capacity {
+            slots = self.freed.wait(slots).unwrap();
+        }
+        slots.1 -= 1;
+        slots.0 += 1;
+        true
+    }
+
     fn answer(&self, request: &Message, life: u64) -> Vec<u8> {
         let id = request.header("attempt-id").to_string();
         let instance = format!("{}-{life}", self.name);
@@ -124,8 +165,17 @@
             self.record.line(format!("{}: arrives in the dark, not run: {id}", self.name));
             return Vec::new();
         }
+        let bounded = self.bounded.load(Ordering::Relaxed);
+        if bounded && !self.take_slot() {
+            return format!("HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n").into_bytes();
+        }
         self.ran.lock().unwrap().push((id.clone(), self.record.seconds()));
-        thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::Relaxed)));
+        let times = if self.cold_left() > 0.0 { 2 } else { 1 };
+        thread::sleep(Duration::from_millis(times * self.work_ms.load(Ordering::Relaxed)));
+        if bounded {
+            self.slots.lock().unwrap().0 -= 1;
+            self.freed.notify_one();
+        }
         let body = self.body.lock().unwrap().clone();
         let mut answer = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal.{id}\r\nContent-Length: {}\r\n\r\n",
@@ -165,11 +215,11 @@
         let entry = |host: &Arc<Host>| {
             format!(
                 "{{\"InstanceId\":\"{}\",\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"ConfigVersion\":\"v1\",\
-                 \"Capacity\":{},\"OperatingState\":\"available\",\"ColdLeft\":\"0ms\"}}",
-                host.instance(), host.service, host.address, host.zone, host.capacity
+                 \"Capacity\":{},\"OperatingState\":\"available\",\"ColdLeft\":\"{}ms\"}}",
+                host.instance(), host.service, host.address, host.zone, host.capacity, (host.cold_left() * 1e3) as u64
             )
         };
-        let entries: Vec<String> = hosts.iter().map(entry).collect();
+        let entries: Vec<String> = hosts.iter().filter(|host| host.listed.load(Ordering::SeqCst)).map(entry).collect();
         let body = format!("{{\"Instances\":[{}],\"NextToken\":null}}", entries.join(","));
         write!(writer, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len()).ok()?;
     }
