Review case 8: a tenant without a burst is refused within its rate

Looked for: settings of tenants that the tiers are not made for. Done: a script that leaves BurstSize out for one of four tenants.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod cold;
 mod counter;
 mod hang;
+mod pace;
 mod quota;
 
 use crate::Verdict;
@@ -14,6 +15,7 @@
         "cold" => cold::play(record, trouble),
         "counter" => counter::play(record, trouble),
         "hang" => hang::play(record, trouble),
+        "pace" => pace::play(record, trouble),
         "quota" => quota::play(record, trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     }
