--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -4,7 +4,8 @@
 mod counter;
 mod hang;
 mod pace;
-mod quota;
+mod recover;
+mod slow;
 
 use crate::Verdict;
 use crate::record::Record;
@@ -15,8 +16,9 @@
         "cold" => cold::play(record, trouble),
         "counter" => counter::play(record, trouble),
         "hang" => hang::play(record, trouble),
+        "recover" => recover::play(record, trouble),
+        "slow" => slow::play(record, trouble),
         "pace" => pace::play(record, trouble),
-        "quota" => quota::play(record, trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     }
 }
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -146,11 +146,6 @@
         self.platform = Some(Platform::start(self.ip(2), hosts.to_vec()).address);
         (0..self.control.len()).for_each(|index| self.start_node(true, index));
         (0..self.data.len()).for_each(|index| self.start_node(false, index));
-        self.first_start = false;
-    }
-
-    pub fn restart_control(&mut self, index: usize) {
-        self.start_node(true, index);
     }
 
     /// Sends a signal to a process of this case.
@@ -161,23 +156,16 @@
         }
     }
 
-    /// SIGKILL to several processes at the same moment.
-    pub fn kill(&mut self, control: &[usize], data: &[usize]) {
-        let record = self.record.clone();
-        for &index in control {
-            if let Some(child) = &mut self.control[index].child {
-                child.kill().ok();
-                record.say(format!("KILL to control-{index}"));
-            }
-        }
-        for &index in data {
-            if let Some(child) = &mut self.data[index].child {
-                child.kill().ok();
-                record.say(format!("KILL to data-{index}"));
-            }
-        }
-        control.iter().for_each(|&index| drop(self.control[index].child.take().map(|mut child| child.wait())));
-        data.iter().for_each(|&index| drop(self.data[index].child.take().map(|mut child| child.wait())));
+    /// SIGKILL to all processes at the same moment; they are started again after `down`.
+    pub fn kill_all(&mut self, down: Duration) {
+        self.record.say("KILL to all processes");
+        self.control.iter_mut().chain(&mut self.data).for_each(|node| drop(node.child.as_mut().map(Child::kill)));
+        self.end();
+        std::thread::sleep(down);
+        self.first_start = false;
+        (0..self.control.len()).for_each(|index| self.start_node(true, index));
+        (0..self.data.len()).for_each(|index| self.start_node(false, index));
+        self.record.say("all processes are started again");
     }
 
     pub fn front(&self, index: usize) -> SocketAddr {
@@ -232,16 +220,6 @@
         false
     }
 
-    /// The index of the control node that holds a role, as one of them tells it.
-    pub fn holder(&self, role: &str) -> Option<usize> {
-        (0..self.control.len()).find_map(|index| {
-            let answer = self.order(index, "GET", "duties", "").answer?;
-            let text = String::from_utf8_lossy(&answer.body).to_string();
-            let part = text.split('{').find(|part| part.contains(&format!("\"{role}\"")))?.to_string();
-            self.control.iter().position(|node| part.contains(&format!("\"{}\"", node.ip)))
-        })
-    }
-
     /// The lines of a node's log that hold a text.
     pub fn logged(&self, name: &str, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default();
