--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod cold;
 mod counter;
 mod hang;
+mod large;
 mod pace;
 mod recover;
 mod slow;
@@ -18,6 +19,7 @@
         "hang" => hang::play(record, trouble),
         "recover" => recover::play(record, trouble),
         "slow" => slow::play(record, trouble),
+        "large" => large::play(record, trouble),
         "pace" => pace::play(record, trouble),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     }
