Fix: a session is left only for a control node that has proven quorum contact

Cause: 10 s after a session with a farther control node began, the data node dropped it for the nearer one without any proof of its quorum contact, and a new session was given 2.5 s from its own start whatever age its answers stated, looked at only every 0.4 s.

Now another control node is tried on a second connection beside the session, which is left once the first answer proves quorum contact; the same trials start when the session's own contact is 1.5 s old or its first answer takes 0.3 s. session/timing.rs states the bound over all hops. The driver no longer awaits a connection attempt before it reads other messages.

Why it works: a voluntary change costs no time without quorum contact, and the time after a loss of contact is bounded by one_way + 1.5 s + failing * 0.7 s + 4 * one_way, under Contact (4 s) with two other nodes failing first.

--- a/crates/control-client/src/session/candidates.rs
+++ b/crates/control-client/src/session/candidates.rs
@@ -55,14 +55,17 @@
     // Each data node has its own order among equally distant ones, so that not all connect to the same one.
     let hash = |node: NodeId| (node ^ local.node).wrapping_mul(HASH_MULTIPLIER);
     candidates.sort_by_key(|candidate| (candidate.distance, hash(candidate.node)));
-    let recent_failure = |candidate: &Candidate| {
-        failed_at.get(&candidate.node).copied().filter(|failed_at| now < *failed_at + FAILURE_BACKOFF)
-    };
+    let recent_failure = |candidate: &Candidate| recent_failure(now, candidate.node, failed_at);
     // The sort is stable: candidates without a recent failure keep the order above.
     candidates.sort_by(|a, b| recent_failure(a).partial_cmp(&recent_failure(b)).unwrap_or(Ordering::Equal));
     candidates
 }
 
+/// Returns when the control node failed, if that was recently.
+pub fn recent_failure(now: f64, node: NodeId, failed_at: &HashMap<NodeId, f64>) -> Option<f64> {
+    failed_at.get(&node).copied().filter(|failed_at| now < *failed_at + FAILURE_BACKOFF)
+}
+
 /// Returns the listed control nodes, then the seeds and those listed earlier, of which only the address is known.
 fn known_candidates(local: &LocalNode, view: &FleetView) -> Vec<Candidate> {
     let mut candidates: Vec<Candidate> = view
--- a/crates/control-client/src/session/established.rs
+++ b/crates/control-client/src/session/established.rs
@@ -1,40 +1,24 @@
-//! An established session: heartbeats and their answers, update requests, and whether to leave the control node.
+//! An established session: heartbeats and their answers, update requests, and when the control node is to be left.
 
 use super::SessionAction;
 use super::candidates::{Candidate, Distance};
 use super::end_reason::EndReason;
+use super::timing::{
+    ANSWER_TIMEOUT, CONFIGURATION_INTERVAL, FIRST_ANSWER_TIMEOUT, HEARTBEAT_INTERVAL, MAX_QUORUM_AGE,
+    MIN_REMAINING_CONFIRMATION, NEARER_NODE_INTERVAL, QUORUM_TIMEOUT, UPDATE_REQUEST_TIMEOUT,
+};
 use crate::fleet_view::{Event, FleetView, ViewChange};
 use archlink_messages::{Heartbeat, Message, StateUpdate};
 use std::collections::HashMap;
 
-// All times and durations are in seconds.
-
-/// Interval between two heartbeats.
-const HEARTBEAT_INTERVAL: f64 = 0.4;
-/// The session ends if no answer came for this long, which covers three heartbeats.
-const ANSWER_TIMEOUT: f64 = 1.3;
-/// A control node without quorum contact for this long is partitioned; another one may not be. Slow disks at a majority
-/// of the voters delay the quorum's answers by less.
-const QUORUM_TIMEOUT: f64 = 2.5;
-/// The least remaining lifetime of the confirmation when a control node without quorum contact is left: the next
-/// control node may be unreachable, or also partitioned and not answering.
-const MIN_REMAINING_CONFIRMATION: f64 = 1.8;
-/// An update request that was not answered within this time is sent again.
-const UPDATE_REQUEST_TIMEOUT: f64 = 1.0;
-/// Delay between a configuration and the request for the next one. Parsing a large configuration takes processor time
-/// from requests on a small machine, and of several configurations in quick succession only the last one matters.
-const CONFIGURATION_INTERVAL: f64 = 0.4;
-/// How long a session with a farther control node lasts before a nearer one is tried again.
-const NEARER_NODE_INTERVAL: f64 = 10.0;
-
 /// The session with one control node while the connection is open. Times are seconds on the monotonic clock.
 pub struct EstablishedSession {
     /// The control node.
     pub peer: Candidate,
     established_at: f64,
     last_answer_at: f64,
-    /// The time of the control node's last known quorum contact.
-    last_quorum_at: f64,
+    /// The time of the control node's last known quorum contact; negative infinity until it has proven any.
+    quorum_contact_at: f64,
     /// The time of the update request in flight; negative infinity if there is none.
     update_requested_at: f64,
     /// The earliest time of the next update request.
@@ -52,7 +36,7 @@
             peer,
             established_at: now,
             last_answer_at: now,
-            last_quorum_at: now,
+            quorum_contact_at: f64::NEG_INFINITY,
             update_requested_at: f64::NEG_INFINITY,
             next_request_at: f64::NEG_INFINITY,
             unanswered: HashMap::new(),
@@ -66,6 +50,31 @@
         self.next_heartbeat_at = now + HEARTBEAT_INTERVAL;
     }
 
+    /// Whether a heartbeat was sent that has no answer yet.
+    pub fn awaits_answer(&self) -> bool {
+        !self.unanswered.is_empty()
+    }
+
+    /// Whether this heartbeat answers one of this session.
+    pub fn is_answer(&self, heartbeat: &Heartbeat) -> bool {
+        self.unanswered.contains_key(&heartbeat.serial)
+    }
+
+    /// The time of the quorum contact that a heartbeat shows; negative infinity if it shows none.
+    pub fn quorum_contact(now: f64, heartbeat: &Heartbeat) -> f64 {
+        heartbeat.confirmed_age.map_or(f64::NEG_INFINITY, |age| now - age.max(0.0))
+    }
+
+    /// The time of the control node's last known quorum contact; negative infinity until it has proven any.
+    pub fn quorum_contact_at(&self) -> f64 {
+        self.quorum_contact_at
+    }
+
+    /// Whether quorum contact at `contact_at` is recent enough to rely on the control node.
+    pub fn is_recent_contact(&self, now: f64, contact_at: f64) -> bool {
+        now <= contact_at + MAX_QUORUM_AGE
+    }
+
     /// Handles a heartbeat of the control node, and requests updates if versions are missing.
     pub fn receive_heartbeat(
         &mut self,
@@ -78,14 +87,14 @@
             self.last_answer_at = now;
             self.unanswered.retain(|serial, _| *serial > heartbeat.serial);
         }
-        let quorum_at = heartbeat.confirmed_age.map_or(f64::NEG_INFINITY, |age| now - age.max(0.0));
-        self.last_quorum_at = self.last_quorum_at.max(quorum_at);
+        let contact_at = EstablishedSession::quorum_contact(now, &heartbeat);
+        self.quorum_contact_at = self.quorum_contact_at.max(contact_at);
         let is_behind = view.is_behind(&heartbeat.versions);
         let changes = view.apply(now, Event::Heartbeat { heartbeat, requested_at });
         if is_behind && self.may_request_updates(now) {
             self.update_requested_at = now;
             let request = Message::UpdateRequest(view.versions().clone());
-            return (vec![SessionAction::Send(request)], changes);
+            return (vec![SessionAction::Send(self.peer.node, request)], changes);
         }
         (Vec::new(), changes)
     }
@@ -116,21 +125,41 @@
 
     /// Returns the failure because of which the session has to end, if there is one.
     pub fn failure(&self, now: f64, confirmation_lifetime: f64) -> Option<EndReason> {
-        let quorum_timeout =
-            QUORUM_TIMEOUT.min(confirmation_lifetime - MIN_REMAINING_CONFIRMATION).max(HEARTBEAT_INTERVAL);
-        if now > self.last_answer_at + ANSWER_TIMEOUT {
+        if now >= self.answer_deadline() {
             Some(EndReason::AnswerTimeout)
-        } else if now > self.last_quorum_at + quorum_timeout {
+        } else if now >= self.quorum_deadline(confirmation_lifetime) {
             Some(EndReason::NoQuorum)
         } else {
             None
         }
     }
 
-    /// Returns whether to leave for a control node at the distance `nearest`.
-    pub fn should_leave_for(&self, now: f64, nearest: Option<Distance>) -> bool {
-        let is_nearer = nearest.is_some_and(|nearest| nearest < self.peer.distance);
-        let is_due = now > self.established_at + NEARER_NODE_INTERVAL;
-        is_nearer && (is_due || self.peer.distance == Distance::Unknown)
+    /// Returns the time at which the session fails or its next heartbeat is due, whichever is earlier.
+    pub fn wake_at(&self, confirmation_lifetime: f64) -> f64 {
+        let fails_at = self.answer_deadline().min(self.quorum_deadline(confirmation_lifetime));
+        self.next_heartbeat_at.min(fails_at)
+    }
+
+    fn answer_deadline(&self) -> f64 {
+        self.last_answer_at + ANSWER_TIMEOUT
+    }
+
+    fn quorum_deadline(&self, confirmation_lifetime: f64) -> f64 {
+        let timeout = (confirmation_lifetime - MIN_REMAINING_CONFIRMATION).max(HEARTBEAT_INTERVAL);
+        self.quorum_contact_at.max(self.established_at) + QUORUM_TIMEOUT.min(timeout)
+    }
+
+    /// Returns the time from which on the control node's quorum contact, or its first answer, is overdue.
+    pub fn overdue_at(&self) -> f64 {
+        (self.quorum_contact_at + MAX_QUORUM_AGE).max(self.established_at + FIRST_ANSWER_TIMEOUT)
+    }
+
+    /// Returns the time from which on a nearer control node may be tried.
+    pub fn nearer_node_due_at(&self) -> f64 {
+        match self.peer.distance {
+            Distance::SameZone => f64::INFINITY,
+            Distance::SameRegion | Distance::OtherRegion => self.established_at + NEARER_NODE_INTERVAL,
+            Distance::Unknown => self.established_at,
+        }
     }
 }
--- a/crates/control-client/tests/session.rs
+++ b/crates/control-client/tests/session.rs
@@ -18,14 +18,14 @@
     let operator_address = SocketAddrV4::new(2.into(), 80);
     let control_node = ControlNode { node: 2, zone: "z".into(), region: "r".into(), operator_address };
     view.apply(0.0, Event::Update(StateUpdate::ControlNodes(vec![control_node])));
-    let mut session = Session::new(local_node(9, vec![1, 2, 3, 4]));
+    let mut session = Session::new(local_node(9, vec![1, 2, 3, 4]), 4.0);
     let mut tried = Vec::new();
     for n in 0..60 {
         let now = f64::from(n) * 0.05;
         let data_node = || unreachable!("no control node answers");
         if let Some(SessionAction::Connect(node)) = session.tick(now, &view, data_node).pop() {
             tried.push(node);
-            session.connected(now, Err("refused".into()));
+            session.connected(now, node, Err("refused".into()));
         }
     }
     assert!(tried.len() > 12 && tried[0] == 2, "{tried:?}");
@@ -36,7 +36,7 @@
 /// reloaded settings file.
 #[test]
 fn reloaded_seeds_are_tried() {
-    let (mut session, view) = (Session::new(local_node(100, vec![1])), FleetView::new(3.0));
+    let (mut session, view) = (Session::new(local_node(100, vec![1]), 3.0), FleetView::new(3.0));
     let mut tried = BTreeSet::new();
     for n in 0..20 {
         let now = 0.5 * f64::from(n);
@@ -47,7 +47,7 @@
         for action in session.tick(now, &view, || unreachable!("no session")) {
             if let SessionAction::Connect(node) = action {
                 tried.insert(node);
-                session.connected(now, Err("connection refused".into()));
+                session.connected(now, node, Err("connection refused".into()));
             }
         }
     }
--- a/crates/control-client/tests/simulated_fleet/mod.rs
+++ b/crates/control-client/tests/simulated_fleet/mod.rs
@@ -52,8 +52,8 @@
     pub session: Session,
     pub view: FleetView,
     pub zone: usize,
-    /// The control node at the other end of its connection.
-    pub connected_to: Option<NodeId>,
+    /// The control nodes at the other ends of its connections.
+    pub connected_to: BTreeSet<NodeId>,
     /// The number of configurations that it has parsed and put in force.
     pub configurations: usize,
     pub hosts: HostList,
@@ -143,10 +143,13 @@
         let zone_index = node as usize % ZONES;
         let (zone, region) = zone(zone_index);
         let data_node = SimulatedDataNode {
-            session: Session::new(LocalNode { node, zone, region, seeds: vec![1, 2, 3] }),
+            session: Session::new(
+                LocalNode { node, zone, region, seeds: vec![1, 2, 3] },
+                CONFIRMATION_LIFETIME,
+            ),
             view: FleetView::new(CONFIRMATION_LIFETIME),
             zone: zone_index,
-            connected_to: None,
+            connected_to: BTreeSet::new(),
             configurations: 0,
             hosts: HostList::default(),
         };
@@ -246,9 +249,9 @@
         for action in actions {
             match action {
                 SessionAction::Connect(to) => self.connect(node, to),
-                SessionAction::Disconnect => self.disconnect(node),
-                SessionAction::Send(message) => {
-                    if let Some(to) = self.data_nodes[&node].connected_to {
+                SessionAction::Disconnect(from) => self.disconnect(node, from),
+                SessionAction::Send(to, message) => {
+                    if self.data_nodes[&node].connected_to.contains(&to) {
                         self.send(node, to, message);
                     }
                 }
@@ -261,15 +264,18 @@
         let is_partitioned = self.partitions.contains(&(node, to)) || self.partitions.contains(&(to, node));
         let is_reachable = self.control_nodes.contains_key(&to) && !is_partitioned;
         let data_node = self.data_nodes.get_mut(&node).unwrap();
-        data_node.connected_to = is_reachable.then_some(to);
         let result = if is_reachable { Ok(()) } else { Err("refused".to_string()) };
-        let actions = data_node.session.connected(self.now, result);
+        if is_reachable {
+            data_node.connected_to.insert(to);
+        }
+        let actions = data_node.session.connected(self.now, to, result);
         self.perform(node, actions);
     }
 
-    fn disconnect(&mut self, node: NodeId) {
-        let connected_to = self.data_nodes.get_mut(&node).unwrap().connected_to.take();
-        let Some(to) = connected_to else { return };
+    fn disconnect(&mut self, node: NodeId, to: NodeId) {
+        if !self.data_nodes.get_mut(&node).unwrap().connected_to.remove(&to) {
+            return;
+        }
         if let Some(control_node) = self.control_nodes.get_mut(&to) {
             control_node.sessions.remove(&node);
         }
@@ -278,9 +284,9 @@
 
     fn deliver_to_data_node(&mut self, node: NodeId, from: NodeId, message: Message) {
         let now = self.now;
-        let connected = |data_node: &&mut SimulatedDataNode| data_node.connected_to == Some(from);
+        let connected = |data_node: &&mut SimulatedDataNode| data_node.connected_to.contains(&from);
         let Some(data_node) = self.data_nodes.get_mut(&node).filter(connected) else { return };
-        let (actions, changes) = data_node.session.step(now, message, &mut data_node.view);
+        let (actions, changes) = data_node.session.step(now, from, message, &mut data_node.view);
         for change in &changes {
             match change {
                 ViewChange::InvalidUpdate(_) => panic!("{changes:?}"),
@@ -329,7 +335,8 @@
         let (zone, region) = zone(data_node.zone);
         let client_address = SocketAddrV4::new(node.into(), 80);
         let ready = data_node.view.is_confirmed(now);
-        let description = || DataNode { node, zone, region, client_address, ready };
+        let description =
+            || DataNode { node, zone: zone.clone(), region: region.clone(), client_address, ready };
         let actions = data_node.session.tick(now, &data_node.view, description);
         self.perform(node, actions);
     }
--- a/crates/data-plane/src/counter_session.rs
+++ b/crates/data-plane/src/counter_session.rs
@@ -1,8 +1,9 @@
 //! The driver of this node's connection to the holder of the quota counter's lease: sends adds, receives totals, and
 //! connects to the new holder when the lease moves.
 
-use crate::control_session::{MAX_QUEUED_MESSAGES, MessageStream};
+use crate::control_session::MAX_QUEUED_MESSAGES;
 use crate::data_plane::DataPlane;
+use crate::session_connections::MessageStream;
 use archlink_messages::{CounterAdd, Message, NodeId};
 use archlink_quota::pending_calls::{CallResult, PendingCalls, ReplyMatch};
 use archlink_runtime::{MessageSender, split_connection};
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -11,7 +11,7 @@
 //! | attempts at hosts | `attempt_task`, `upstream` |
 //! | header names and values | `protocol` |
 //! | state that all requests share | `data_plane`, `quota_state`, `view_changes` |
-//! | sessions with control nodes and the quota counter | `control_session`, `counter_session` |
+//! | sessions with control nodes and the quota counter | `control_session`, `session_connections`, `counter_session` |
 //! | readiness and metrics | `status`, `metrics` |
 //! | start and shutdown | `server` |
 
@@ -38,6 +38,7 @@
 mod request;
 mod routing;
 mod server;
+mod session_connections;
 mod status;
 mod upstream;
 mod view_changes;
--- a/crates/data-plane/src/tests/control_session.rs
+++ b/crates/data-plane/src/tests/control_session.rs
@@ -19,7 +19,7 @@
 fn heartbeat_serial(session: &mut Session, fleet_view: &FleetView, now: f64) -> u64 {
     let actions = session.tick(now, fleet_view, data_node);
     let serial = actions.iter().find_map(|action| match action {
-        SessionAction::Send(Message::SessionHeartbeat { serial, .. }) => Some(*serial),
+        SessionAction::Send(_, Message::SessionHeartbeat { serial, .. }) => Some(*serial),
         _ => None,
     });
     serial.unwrap_or_else(|| panic!("no heartbeat at {now}: {actions:?}"))
@@ -27,7 +27,7 @@
 
 fn connect(session: &mut Session, fleet_view: &FleetView, now: f64) {
     assert!(matches!(session.tick(now, fleet_view, data_node)[..], [SessionAction::Connect(2)]));
-    session.connected(now, Ok(()));
+    session.connected(now, 2, Ok(()));
 }
 
 /// The messages of a control node when everything is at version `n`.
@@ -77,14 +77,14 @@
 #[test]
 fn stale_messages_neither_revert_the_fleet_view_nor_confirm_it() {
     let local_node = LocalNode { node: 1, zone: "z".into(), region: "r".into(), seeds: vec![2] };
-    let (mut session, mut fleet_view) = (Session::new(local_node), FleetView::new(LEASE));
+    let (mut session, mut fleet_view) = (Session::new(local_node, LEASE), FleetView::new(LEASE));
     connect(&mut session, &fleet_view, 0.0);
     let mut messages = Vec::new();
     for (n, at) in [(1, 0.0), (2, 0.5), (3, 1.0)] {
         let serial = heartbeat_serial(&mut session, &fleet_view, at);
         messages.extend(messages_at(n, serial));
         for message in messages_at(n, serial) {
-            session.step(at, message, &mut fleet_view);
+            session.step(at, 2, message, &mut fleet_view);
         }
     }
     let (before_expiry, before) = (1.0 + LEASE - 0.1, state(&fleet_view, 1.0));
@@ -92,7 +92,7 @@
     for round in 0..2 {
         let now = 1.2 + 0.4 * f64::from(round);
         if round == 1 {
-            session.connection_lost(now, "reset");
+            session.connection_lost(now, 2, "reset");
             connect(&mut session, &fleet_view, now + 0.2);
             heartbeat_serial(&mut session, &fleet_view, now + 0.2);
         }
@@ -101,7 +101,7 @@
             messages.rotate_left(1);
             messages.reverse();
             for message in &messages {
-                session.step(now + 0.2 + 0.01 * rotation as f64, message.clone(), &mut fleet_view);
+                session.step(now + 0.2 + 0.01 * rotation as f64, 2, message.clone(), &mut fleet_view);
                 assert_eq!(state(&fleet_view, 1.0), before, "round {round}, {message:?}");
             }
         }
--- a/crates/data-plane/src/tests/mod.rs
+++ b/crates/data-plane/src/tests/mod.rs
@@ -7,6 +7,7 @@
 mod protocol;
 mod responses;
 mod scripted_hosts;
+mod session_connections;
 mod status;
 
 use crate::client_presence::ClientPresence;
