Fix: a request whose limits are replaced while it waits is checked against the new ones

Cause: a continuation that waits for the counter kept the index of its tier and window; Admission::set_plans had replaced the tiers meanwhile, so `tiers[plan][tier]` was out of bounds and the panic ended the counting. The same happened without a wait where a burst tier entered under the former limits was still active. Where the index still existed, the total of a window of the former limits was weighed against the new ones.

Each plan has a revision now. A continuation whose plan was replaced takes its add back and checks the request anew, within the counter deadline that it had; an active tier that the plan no longer has counts as ended.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -52,6 +52,8 @@
     pub(crate) settings: AdmissionSettings,
     pub(crate) classes: Vec<ClassPolicy>,
     pub(crate) tiers: Vec<Vec<Tier>>,
+    /// For each plan, how often its limits were replaced.
+    pub(crate) plan_revisions: Vec<u64>,
     pub(crate) rate_limits: Vec<RateLimit>,
     pub(crate) now: f64,
     pub(crate) rng: oorandom::Rand64,
@@ -87,6 +89,7 @@
             classes: settings.classes.iter().map(ClassPolicy::of).collect(),
             rate_limits: settings.plans.iter().map(|plan| rate_limit(plan, settings.may_count)).collect(),
             tiers: settings.plans.iter().map(|plan| tiers(plan, settings.max_units)).collect(),
+            plan_revisions: vec![0; settings.plans.len()],
             now,
             rng: oorandom::Rand64::new(u128::from(seed)),
             hosts: BTreeMap::new(),
@@ -114,8 +117,15 @@
         gateway
     }
 
-    /// Replaces the plans' limits. Plans keep their indexes, and customers their recorded use.
-    pub fn set_plans(&mut self, plans: Vec<PlanLimits>) {
+    /// Replaces the plans' limits. Plans keep their indexes, and customers their recorded use; a plan that is left out has no
+    /// limits any more. A request that waits for the counter under limits that are replaced is checked anew.
+    pub fn set_plans(&mut self, mut plans: Vec<PlanLimits>) {
+        plans.resize(plans.len().max(self.settings.plans.len()), PlanLimits::default());
+        self.plan_revisions.resize(plans.len(), 0);
+        let known = self.settings.plans.iter();
+        for ((revision, before), after) in self.plan_revisions.iter_mut().zip(known).zip(&plans) {
+            *revision += u64::from(before != after);
+        }
         self.rate_limits = plans.iter().map(|plan| rate_limit(plan, self.settings.may_count)).collect();
         self.tiers = plans.iter().map(|plan| tiers(plan, self.settings.max_units)).collect();
         self.settings.plans = plans;
--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -47,7 +47,7 @@
 }
 
 /// A plan's limits; a `rate` or `rate_limit` of 0 means no such limit.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct PlanLimits {
     /// Quota in units a second.
     pub rate: f64,
--- a/crates/admission/src/marks.rs
+++ b/crates/admission/src/marks.rs
@@ -20,19 +20,24 @@
         let mark_key = |kind: u64| counter_key(customer, kind + next_tier as u64, 0);
         let (taken_key, active_key, active, cycle) =
             (mark_key(2), mark_key(4), tier.active, tier.active + tier.cooldown);
+        let plan_revision = self.plan_revision(id);
         let after_active_mark: CounterContinuation = Box::new(move |gateway, driver, total| {
             let running = total.is_some_and(|total| total > 0.5);
             let recheck_after = (cycle * RECHECK_SHARE).min(active);
             let (active_for, taken_for) =
                 if running { (active * RECHECK_SHARE, 0.0) } else { (0.0, recheck_after) };
             gateway.enter_tier(customer, next_tier, active_for, taken_for);
-            gateway.continue_after_mark(driver, id, next_tier, running, wait);
+            gateway.continue_after_wait(driver, id, plan_revision, |gateway, driver| {
+                gateway.continue_after_mark(driver, id, next_tier, running, wait);
+            });
         });
         let after_taken_mark: CounterContinuation = Box::new(move |gateway, driver, total| match total {
             Some(total) if total < 1.5 => {
                 gateway.enter_tier(customer, next_tier, active, cycle);
                 gateway.update_mark(driver, active_key, active, 1.0, None);
-                gateway.continue_after_mark(driver, id, next_tier, true, wait);
+                gateway.continue_after_wait(driver, id, plan_revision, |gateway, driver| {
+                    gateway.continue_after_mark(driver, id, next_tier, true, wait);
+                });
             }
             Some(_) => gateway.update_mark(driver, active_key, active, 0.0, Some((id, after_active_mark))),
             None => after_active_mark(gateway, driver, None),
@@ -40,7 +45,7 @@
         self.update_mark(driver, taken_key, cycle, 1.0, Some((id, after_taken_mark)));
     }
 
-    /// Continues a request, if it is still open, in the tier that was entered, or with the next one.
+    /// Continues an open request in the tier that was entered, or with the next one.
     pub(crate) fn continue_after_mark(
         &mut self,
         driver: &mut dyn Driver,
@@ -49,10 +54,9 @@
         entered: bool,
         wait: f64,
     ) {
-        match (self.requests.contains_key(&id), entered) {
-            (false, _) => {}
-            (_, true) => self.add_to_tier(driver, id, tier_index),
-            (_, false) => self.try_next_tier(driver, id, tier_index, wait),
+        match entered {
+            true => self.add_to_tier(driver, id, tier_index),
+            false => self.try_next_tier(driver, id, tier_index, wait),
         }
     }
 
--- a/crates/admission/src/quota.rs
+++ b/crates/admission/src/quota.rs
@@ -7,7 +7,7 @@
 use crate::admission::Admission;
 use crate::counter_keys::counter_key;
 use crate::interface::{Driver, PlanLimits};
-use crate::state::{Charge, ClosedWindow, CounterContinuation, Exhausted};
+use crate::state::{Charge, ClosedWindow, CounterContinuation, Exhausted, WindowAdd};
 use crate::tiers::RateLimit;
 use crate::windows::window;
 
@@ -34,18 +34,50 @@
 
     /// Checks the rate limit and the quota, and dispatches or rejects the request, perhaps after a reply of the counter.
     pub(crate) fn check_quota(&mut self, driver: &mut dyn Driver, id: u32) {
-        let (customer, plan, _) = self.quota_subject(id);
-        let (tier, until) = self.customers[&customer].active_tier;
+        let (_, plan, _) = self.quota_subject(id);
         match (
             self.rate_limits[plan].enforced_by_counter || self.within_rate_limit(id),
             self.tiers[plan].is_empty(),
         ) {
             (false, _) => self.reject_overloaded(driver, id),
             (_, true) => self.dispatch(driver, id),
-            _ => self.add_to_tier(driver, id, if until > self.now { tier } else { 0 }),
+            _ => self.add_to_tier(driver, id, self.active_tier(id)),
         }
     }
 
+    /// The tier that is known to be active, if the plan still has it; otherwise the base tier.
+    fn active_tier(&self, id: u32) -> usize {
+        let (customer, plan, _) = self.quota_subject(id);
+        let (tier, until) = self.customers.get(&customer).map_or((0, 0.0), |state| state.active_tier);
+        let is_active = until > self.now && tier < self.tiers[plan].len();
+        if is_active { tier } else { 0 }
+    }
+
+    /// The revision of the limits of an open request's plan.
+    pub(crate) fn plan_revision(&self, id: u32) -> u64 {
+        let (_, plan, _) = self.quota_subject(id);
+        self.plan_revisions[plan]
+    }
+
+    /// Continues a request that waited for the counter, if it is still open. If its plan's limits were replaced meanwhile, its
+    /// add is taken back and it is checked against the limits that apply now; its counter deadline stays the same.
+    pub(crate) fn continue_after_wait(
+        &mut self,
+        driver: &mut dyn Driver,
+        id: u32,
+        plan_revision: u64,
+        next: impl FnOnce(&mut Admission, &mut dyn Driver),
+    ) {
+        if !self.requests.contains_key(&id) {
+            return;
+        }
+        if self.plan_revision(id) == plan_revision {
+            return next(self, driver);
+        }
+        self.refund(driver, id);
+        self.check_quota(driver, id);
+    }
+
     /// Adds the request's units to the tier's current window; the closed window is read only where it decides.
     pub(crate) fn add_to_tier(&mut self, driver: &mut dyn Driver, id: u32, tier_index: usize) {
         let now = self.now;
@@ -73,29 +105,25 @@
         if !ask_counter {
             return self.decide_locally(driver, id);
         }
-        let next: CounterContinuation = Box::new(move |gateway, driver, total| match total {
-            _ if !gateway.requests.contains_key(&id) => (),
-            None => gateway.decide_locally(driver, id),
-            Some(total) => gateway.evaluate_total(driver, id, tier_index, total, index, elapsed_part),
+        let plan_revision = self.plan_revision(id);
+        let add = WindowAdd { request: id, tier: tier_index, window: index, elapsed_part, plan_revision };
+        let next: CounterContinuation = Box::new(move |gateway, driver, total| {
+            gateway.continue_after_wait(driver, id, plan_revision, |gateway, driver| match total {
+                None => gateway.decide_locally(driver, id),
+                Some(total) => gateway.evaluate_total(driver, add, total),
+            });
         });
         self.send_add(driver, current_key, lifetime, Some((id, next)));
     }
 
     /// Dispatches, rejects or moves to the next tier, by the total of the current window after this request's add.
-    pub(crate) fn evaluate_total(
-        &mut self,
-        driver: &mut dyn Driver,
-        id: u32,
-        tier_index: usize,
-        total: f64,
-        index: u64,
-        elapsed_part: f64,
-    ) {
+    pub(crate) fn evaluate_total(&mut self, driver: &mut dyn Driver, add: WindowAdd, total: f64) {
         // Longest time, in seconds, without asking about an exhausted window: other gateways may refund units meanwhile.
         const MAX_EXHAUSTED: f64 = 1.0;
         // Share of the limit from which on the undrained part of the closed window counts; moderate customers stay below it.
         const CARRY_OVER_FROM: f64 = 0.25;
         let now = self.now;
+        let WindowAdd { request: id, tier: tier_index, window: index, elapsed_part, .. } = add;
         let (customer, plan, units) = self.quota_subject(id);
         let added = self.requests[&id].charged.map_or(units, |charge| charge.units);
         let (tier, may_call) = (self.tiers[plan][tier_index], self.may_call_counter());
@@ -110,7 +138,7 @@
         };
         let crosses = total >= tier.limit * CARRY_OVER_FROM && total - added < tier.limit * CARRY_OVER_FROM;
         if spread_out && crosses {
-            self.read_closed_window(driver, id, tier_index, None, (index, elapsed_part));
+            self.read_closed_window(driver, add, None);
         }
         if remaining_units >= -1e-6 {
             return self.dispatch(driver, id);
@@ -120,7 +148,7 @@
             self.customers
                 .entry(customer)
                 .and_modify(|customer_state| customer_state.windows[tier_index] = before);
-            return self.read_closed_window(driver, id, tier_index, Some(total), (index, elapsed_part));
+            return self.read_closed_window(driver, add, Some(total));
         }
         let Some(customer_state) = self.customers.get_mut(&customer) else { return };
         let window_state = &mut customer_state.windows[tier_index];
@@ -140,14 +168,10 @@
     pub(crate) fn read_closed_window(
         &mut self,
         driver: &mut dyn Driver,
-        id: u32,
-        tier_index: usize,
+        add: WindowAdd,
         total_to_evaluate: Option<f64>,
-        window: (u64, f64),
     ) {
-        let (index, elapsed_part) = window;
-        // Weight of one closed window in the local share, which converges within a few windows.
-        const SHARE_STEP: f64 = 0.5;
+        let WindowAdd { request: id, tier: tier_index, window: index, plan_revision, .. } = add;
         let (customer, plan, _) = self.quota_subject(id);
         let tier = self.tiers[plan][tier_index];
         let lifetime = tier.window * 2.0 + 0.5;
@@ -155,8 +179,6 @@
             [index - 1, index].map(|index| counter_key(customer, tier_index as u64, index));
         let next: CounterContinuation = Box::new(move |gateway, driver, reply| {
             let own_units = gateway.counters.get(&closed_key).map_or(0.0, |entry| entry.wanted);
-            let Some(customer_state) = gateway.customers.get_mut(&customer) else { return };
-            let share = customer_state.local_share;
             // A total below what this gateway added shows that the counter lost the key: the own units and share give an estimate
             // of the total instead.
             let reply = reply.filter(|total| total + 0.01 >= own_units);
@@ -165,15 +187,12 @@
                 gateway.counter_entry(current_key, lifetime).wanted += undrained;
                 return gateway.send_add(driver, current_key, lifetime, None);
             };
-            let closed_total = reply.unwrap_or(own_units / share);
-            customer_state.windows[tier_index].closed =
-                Some(ClosedWindow { index: index - 1, total: closed_total });
-            if closed_total > 0.0 && own_units > 0.0 {
-                customer_state.local_share += SHARE_STEP * ((own_units / closed_total).min(1.0) - share);
-            }
-            if gateway.requests.contains_key(&id) {
-                gateway.evaluate_total(driver, id, tier_index, total, index, elapsed_part);
+            if gateway.plan_revisions[plan] == plan_revision {
+                gateway.record_closed_window(customer, tier_index, index - 1, reply, own_units);
             }
+            gateway.continue_after_wait(driver, id, plan_revision, |gateway, driver| {
+                gateway.evaluate_total(driver, add, total);
+            });
         });
         self.counter_entry(closed_key, lifetime);
         self.send_add(
@@ -184,6 +203,27 @@
         );
     }
 
+    /// Records the total of a closed window, or its estimate from this gateway's own units if the counter told none, and
+    /// adjusts the local share.
+    fn record_closed_window(
+        &mut self,
+        customer: u64,
+        tier_index: usize,
+        index: u64,
+        reply: Option<f64>,
+        own_units: f64,
+    ) {
+        // Weight of one closed window in the local share, which converges within a few windows.
+        const SHARE_STEP: f64 = 0.5;
+        let Some(customer_state) = self.customers.get_mut(&customer) else { return };
+        let share = customer_state.local_share;
+        let total = reply.unwrap_or(own_units / share);
+        customer_state.windows[tier_index].closed = Some(ClosedWindow { index, total });
+        if total > 0.0 && own_units > 0.0 {
+            customer_state.local_share += SHARE_STEP * ((own_units / total).min(1.0) - share);
+        }
+    }
+
     /// Decides without the counter, from the units that remained at the last update. Past use keeps draining, and each request
     /// seen here also represents those at other gateways, by the local share. The remaining units may become negative, down to
     /// minus one burst, and the further the older the last total is: otherwise one request a minute of a customer spread over
--- a/crates/admission/src/state.rs
+++ b/crates/admission/src/state.rs
@@ -41,6 +41,20 @@
     pub(crate) outstanding: VecDeque<OutstandingAdd>,
 }
 
+/// A request's add to the current window of a tier, and what it was computed from. It says nothing any more once the plan's
+/// limits have been replaced: tiers and windows are numbered by the limits.
+#[derive(Clone, Copy)]
+pub(crate) struct WindowAdd {
+    pub(crate) request: u32,
+    /// Index of the tier in its plan.
+    pub(crate) tier: usize,
+    /// Index of the window, and the part of it that had passed at the add.
+    pub(crate) window: u64,
+    pub(crate) elapsed_part: f64,
+    /// The revision of the plan's limits at the add.
+    pub(crate) plan_revision: u64,
+}
+
 /// A fixed window that has ended.
 #[derive(Clone, Copy)]
 pub(crate) struct ClosedWindow {
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod cases;
 mod disconnects;
 mod harness;
+mod plan_changes;
 mod rules;
