Fix: the counter client keeps its wake-up until it is due

Cause: the driver sleeps until the earliest wake-up; a later setting replaces it, and CounterClient::timer_fired cleared the wake-up before the module, which ignores a call before its own time, had decided.

An early call changes nothing now.

The gateway's driver has one timer descriptor that each setting replaces, so it doesn't fire early.

--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -268,7 +268,8 @@
     fn send_to_peers(&mut self, gateway: Option<u32>, payload: &[u8]);
     /// Subscribes to host lists.
     fn subscribe(&mut self);
-    /// Sets the only timer, replacing an earlier one: `timer_fired` is due after so many seconds.
+    /// Sets the only timer, replacing an earlier one: `timer_fired` is due after so many seconds. A call before that time, for an
+    /// earlier setting, is ignored and does not take its place.
     fn set_timer(&mut self, after: f64);
     /// Writes a line to the log.
     fn log(&mut self, line: &str);
--- a/crates/quota/src/counter_client.rs
+++ b/crates/quota/src/counter_client.rs
@@ -192,8 +192,12 @@
         self.pending_adds + self.effects.adds.len() < MAX_PENDING_ADDS
     }
 
-    /// Runs the module's timer; due at [`CounterClient::wake_at`].
+    /// Runs the module's timer; due at [`CounterClient::wake_at`]. A call before that time changes nothing: the module would
+    /// ignore it and not set its timer again.
     pub fn timer_fired(&mut self, now: f64) {
+        if self.effects.wake_at.is_none_or(|wake_at| now < wake_at) {
+            return;
+        }
         self.effects.wake_at = None;
         self.step(now, |module, effects| module.timer_fired(now, effects));
     }
