Fix: a request waits for the quota counter's verdict half a second at most

The wait ends after 0.5 s, or the request's time limit if that is shorter. The request is withdrawn, and the local share decides, as without a counter; it counts as a part of the quota that the counter doesn't grant, so no more is admitted than before.

Tests: data-plane/src/tests/quota.rs in simulated time.

--- a/crates/data-plane/src/quota_enforcement.rs
+++ b/crates/data-plane/src/quota_enforcement.rs
@@ -10,12 +10,18 @@
 use archlink_quota::counter_client::{Quota, Verdict};
 use archlink_quota::local_share::{LocalShare, QuotaBound};
 use archlink_quota::pending_calls::CallResult;
+use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 /// `Retry-After` in seconds of a request that is rejected without the counter's verdict: by then the counter may be
 /// reachable again.
 const UNCOUNTED_RETRY_AFTER: f64 = 0.3;
 
+/// Longest wait in seconds for the counter's verdict. The counter client gives up a silent counter sooner; whatever becomes of
+/// the counting, no request waits longer.
+const MAX_VERDICT_WAIT: f64 = 0.5;
+
 /// The request exceeds its tenant's quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaExceeded {
@@ -51,13 +57,15 @@
         let Some(id) = counter_request else { return Ok(()) };
         self.quota.flush();
         let waiting = WaitingRequest { data_plane: self, id };
-        let verdict = verdict.await;
+        let limit = Duration::from_secs_f64(time_limit.clamp(0.0, MAX_VERDICT_WAIT));
+        // Neither a verdict nor the end of the counting: the request is withdrawn.
+        let verdict = timeout(limit, verdict).await.ok().and_then(Result::ok);
         drop(waiting);
         match verdict {
-            Ok(Verdict::Granted) => Ok(()),
-            Ok(Verdict::Rejected(_)) if self.try_local_share(tenant) => Ok(()),
-            Ok(Verdict::Rejected(wait)) => Err(QuotaExceeded { retry_after: wait }),
-            Err(_) => Err(uncounted),
+            Some(Verdict::Granted) => Ok(()),
+            _ if self.try_local_share(tenant) => Ok(()),
+            Some(Verdict::Rejected(wait)) => Err(QuotaExceeded { retry_after: wait }),
+            None => Err(uncounted),
         }
     }
 
--- a/crates/data-plane/src/tests/mod.rs
+++ b/crates/data-plane/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod control_session;
 mod disconnects;
 mod protocol;
+mod quota;
 mod responses;
 mod scripted_hosts;
 mod session_connections;
