Fix: tasks that panic are started again, the quota counting with a new client

No task of the data plane or the control plane was started again after a panic; only the gateway on its own did that.

runtime::restart_on_panic supervises the tasks of both programs. The quota counting is one task, connection and timer together: started again, it replaces the counter client as a restart of the process would, keeps request ids unique and ends the waits of requests, which the local shares then decide. Its half-changed state and the calls in flight are given up with the client, since a late total would be taken for that of another add. Restarts are logged and counted (archlink_task_restarts_total).

Related paths: control plane (peer links, listeners, host discovery, ticks), readiness, metrics, housekeeping. Tasks of one client connection stay as they are: their panic closes that connection.

Tests: task_that_panics_is_restarted_and_counted_until_it_returns (runtime; new code), counting_begins_anew_and_waiting_requests_end (data plane). Neither compiles on the code before, which has no such functions.

--- a/crates/control-plane/src/admin/server.rs
+++ b/crates/control-plane/src/admin/server.rs
@@ -33,7 +33,7 @@
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections until the process ends.
-pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+pub async fn listen(node: Rc<Node>, listener: Rc<TcpListener>) {
     // Each connection holds a clone, so the strong count is the number of open connections plus one.
     let open_connections = Rc::new(());
     let body_memory = Rc::new(Cell::new((node.settings.memory_bytes * BODY_MEMORY_FRACTION) as usize));
--- a/crates/control-plane/src/serve.rs
+++ b/crates/control-plane/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::{ControlPlaneError, ControlPlaneResult};
 use archlink_config::Settings;
 use archlink_control_node::node::ControlNodeState;
-use archlink_runtime::Clock;
+use archlink_runtime::{Clock, restart_on_panic};
 use error_stack::{Report, ResultExt};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -66,21 +66,35 @@
     Ok(())
 }
 
+/// Spawns the tasks that run for the lifetime of the process. One that panics is started again, since others wait for what it
+/// does.
 fn spawn_tasks(node: &Rc<Node>, peer_listener: TcpListener, admin_listeners: [TcpListener; 2]) {
-    spawn_local(peer_links::incoming::listen(node.clone(), peer_listener));
-    spawn_local(peer_links::outgoing::maintain(node.clone()));
-    spawn_local(peer_links::outgoing::reload_seeds(node.clone()));
-    for listener in admin_listeners {
-        spawn_local(admin::server::listen(node.clone(), listener));
+    let peer_listener = Rc::new(peer_listener);
+    let listen = move |node| peer_links::incoming::listen(node, peer_listener.clone());
+    supervise(node, "peer_listener", listen);
+    supervise(node, "peer_links", peer_links::outgoing::maintain);
+    supervise(node, "seed_reload", peer_links::outgoing::reload_seeds);
+    for listener in admin_listeners.map(Rc::new) {
+        supervise(node, "operator_listener", move |node| admin::server::listen(node, listener.clone()));
     }
-    spawn_local(host_discovery::run(node.clone()));
+    supervise(node, "host_discovery", host_discovery::run);
+    supervise(node, "ticks", tick_periodically);
+}
+
+async fn tick_periodically(node: Rc<Node>) {
+    loop {
+        node.tick();
+        sleep(TICK_INTERVAL).await;
+    }
+}
+
+fn supervise<F: Future<Output = ()> + 'static>(
+    node: &Rc<Node>,
+    name: &'static str,
+    start_task: impl Fn(Rc<Node>) -> F + 'static,
+) {
     let node = node.clone();
-    spawn_local(async move {
-        loop {
-            node.tick();
-            sleep(TICK_INTERVAL).await;
-        }
-    });
+    spawn_local(restart_on_panic(name, |_| (), move || start_task(node.clone())));
 }
 
 async fn shut_down(node: &Rc<Node>) {
--- a/crates/control-plane/src/server/peer_links/incoming.rs
+++ b/crates/control-plane/src/server/peer_links/incoming.rs
@@ -54,7 +54,7 @@
 impl std::error::Error for ConnectionError {}
 
 /// Accepts connections until the process ends.
-pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+pub async fn listen(node: Rc<Node>, listener: Rc<TcpListener>) {
     // Each connection holds a clone, so the strong count is the number of open connections plus one.
     let open_connections = Rc::new(());
     let connections = Rc::new(RefCell::new(ConnectionTable::default()));
--- a/crates/data-plane/src/counter_session.rs
+++ b/crates/data-plane/src/counter_session.rs
@@ -24,29 +24,35 @@
     term: u64,
 }
 
-/// Maintains a connection to the counter's holder for the lifetime of the process.
+/// Counts requests at the counter's holder for the lifetime of the process. Started again after a panic, it begins anew, like a
+/// process that starts; requests that waited for the counter are decided without it.
 pub async fn run(data_plane: Rc<DataPlane>) {
+    data_plane.reset_quota_counting();
+    tokio::join!(maintain_connection(&data_plane), data_plane.run_quota_timer());
+}
+
+/// Maintains a connection to the counter's holder.
+async fn maintain_connection(data_plane: &DataPlane) {
     let mut calls = PendingCalls::default();
     loop {
         data_plane.set_counter_reachable(false);
-        let Some(holder) = current_holder(&data_plane) else {
-            fail_adds(&data_plane);
-            wait_before_reconnect(&data_plane).await;
+        let Some(holder) = current_holder(data_plane) else {
+            fail_adds(data_plane);
+            wait_before_reconnect(data_plane).await;
             continue;
         };
         let address = archlink_runtime::node_address(holder.node, data_plane.settings.internal_port);
         match archlink_runtime::connect(address).await {
             Ok(framed) => {
                 let (sender, messages) = split_connection(framed, MAX_QUEUED_MESSAGES);
-                let mut connection =
-                    CounterConnection { data_plane: &data_plane, calls: &mut calls, sender, holder };
+                let mut connection = CounterConnection { data_plane, calls: &mut calls, sender, holder };
                 connection.run(Box::pin(messages)).await;
                 drop(connection);
                 data_plane.finish_counter_calls(calls.disconnected());
             }
-            Err(_) => fail_adds(&data_plane),
+            Err(_) => fail_adds(data_plane),
         }
-        wait_before_reconnect(&data_plane).await;
+        wait_before_reconnect(data_plane).await;
     }
 }
 
--- a/crates/data-plane/src/listener.rs
+++ b/crates/data-plane/src/listener.rs
@@ -12,7 +12,7 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 
 /// Accepts connections and serves each in its own task. Returns once the stage is [`ServingStage::Closed`].
-pub async fn listen(server: Rc<ClientServer>, listener: TcpListener) {
+pub async fn listen(server: Rc<ClientServer>, listener: Rc<TcpListener>) {
     let mut stage = server.stage.clone();
     loop {
         let accepted = tokio::select! {
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -29,6 +29,11 @@
     service: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TaskLabels {
+    task: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StatusLabels {
     status: u16,
@@ -82,6 +87,7 @@
     responses: Family<StatusLabels, Counter>,
     connections: Gauge,
     in_flight: Gauge,
+    task_restarts: Family<TaskLabels, Counter>,
     disconnects: Family<ServiceLabels, Counter>,
     attempts_after_disconnect: Family<DisconnectLabels, Counter>,
     seconds_after_disconnect: Family<ServiceLabels, Histogram, fn() -> Histogram>,
@@ -106,6 +112,9 @@
         registry.register("client_connections", "Open connections of clients", connections.clone());
         let in_flight = Gauge::default();
         registry.register("requests_at_work", "Requests that are not answered yet", in_flight.clone());
+        let task_restarts = Family::default();
+        let help = "Tasks that were started again after a panic";
+        registry.register("task_restarts", help, task_restarts.clone());
         let disconnects = Family::default();
         let help = "Requests whose client closed its connection before the answer";
         registry.register("client_departures", help, disconnects.clone());
@@ -125,6 +134,7 @@
             responses,
             connections,
             in_flight,
+            task_restarts,
             disconnects,
             attempts_after_disconnect,
             seconds_after_disconnect,
@@ -148,6 +158,11 @@
         self.responses.get_or_create(&StatusLabels { status }).inc();
     }
 
+    /// Counts the restart of a task that panicked.
+    pub fn task_restarted(&self, task: &'static str) {
+        self.task_restarts.get_or_create(&TaskLabels { task }).inc();
+    }
+
     /// Counts a request to this service whose client disconnected.
     pub fn client_disconnected(&self, service: &str) {
         let service = self.service_label(service);
--- a/crates/data-plane/src/quota_enforcement.rs
+++ b/crates/data-plane/src/quota_enforcement.rs
@@ -69,6 +69,17 @@
         }
     }
 
+    /// Begins the counting anew, as after a restart of the process. Requests that wait for a verdict are decided by the local
+    /// share.
+    pub fn reset_quota_counting(&self) {
+        self.set_counter_reachable(false);
+        let seed = archlink_runtime::random_seed();
+        self.quota.counter_client.borrow_mut().reset(self.cluster_clock(), seed);
+        self.quota.timer_at.set(f64::INFINITY);
+        self.apply_quotas();
+        self.quota.waiting.borrow_mut().clear();
+    }
+
     fn try_local_share(&self, tenant: &Tenant) -> bool {
         let (bound, now) = (self.quota_bound(), self.clock.now());
         let mut shares = self.quota.shares.borrow_mut();
--- a/crates/data-plane/src/server.rs
+++ b/crates/data-plane/src/server.rs
@@ -8,7 +8,7 @@
 use archlink_config::Settings;
 use archlink_http::codec::ClientCodec;
 use archlink_http::connection_pool::ConnectionPool;
-use archlink_runtime::Clock;
+use archlink_runtime::{Clock, restart_on_panic};
 use error_stack::{Report, ResultExt};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 
 /// Fraction of the file descriptors for client connections. Together with the fraction for hosts it leaves 15% for
@@ -76,8 +76,9 @@
     );
     let (server, stage) = assemble(settings, clock);
     spawn_background_tasks(&server, readiness_listener, metrics_port);
-    let listener_task = spawn_local(listener::listen(server.clone(), client_listener));
-    spawn_local(housekeeping(server.data_plane.clone()));
+    let (accepting, client_listener) = (server.clone(), Rc::new(client_listener));
+    let accept = move || listener::listen(accepting.clone(), client_listener.clone());
+    let listener_task = supervise(&server.data_plane, "client_listener", accept);
     log::info!(name = server.data_plane.settings.name.as_str(); "data node started");
     shutdown.await;
     drain(&server, &stage, async { drop(listener_task.await) }).await;
@@ -118,21 +119,37 @@
     metrics_port: Option<u16>,
 ) {
     let data_plane = &server.data_plane;
-    spawn_local(control_session::run(data_plane.clone()));
-    spawn_local(counter_session::run(data_plane.clone()));
-    let quota_timer = data_plane.clone();
-    spawn_local(async move { quota_timer.run_quota_timer().await });
-    spawn_local(status::serve_readiness(server.clone(), readiness_listener));
+    let supervised = data_plane.clone();
+    supervise(data_plane, "control_session", move || control_session::run(supervised.clone()));
+    let supervised = data_plane.clone();
+    supervise(data_plane, "quota_counting", move || counter_session::run(supervised.clone()));
+    let supervised = data_plane.clone();
+    supervise(data_plane, "housekeeping", move || housekeeping(supervised.clone()));
+    let (supervised, listener) = (server.clone(), Rc::new(readiness_listener));
+    let serve_readiness = move || status::serve_readiness(supervised.clone(), listener.clone());
+    supervise(data_plane, "readiness", serve_readiness);
     if let Some(port) = metrics_port {
-        spawn_local(serve_metrics(server.clone(), port));
+        let supervised = server.clone();
+        supervise(data_plane, "metrics", move || serve_metrics(supervised.clone(), port));
     }
 }
 
+/// Spawns a task that is started again and counted whenever it panics, since requests wait for what it does.
+fn supervise<F: Future<Output = ()> + 'static>(
+    data_plane: &Rc<DataPlane>,
+    name: &'static str,
+    start_task: impl Fn() -> F + 'static,
+) -> JoinHandle<()> {
+    let data_plane = data_plane.clone();
+    let count_restart = move |name| data_plane.metrics.task_restarted(name);
+    spawn_local(restart_on_panic(name, count_restart, start_task))
+}
+
 /// Serves metrics at this port of the node's own address. If the port can't be bound, the node runs without them.
 async fn serve_metrics(server: Rc<ClientServer>, port: u16) {
     let address = SocketAddr::new(server.data_plane.settings.ip.into(), port);
     match TcpListener::bind(address).await {
-        Ok(listener) => status::serve_metrics(server, listener).await,
+        Ok(listener) => status::serve_metrics(server, Rc::new(listener)).await,
         Err(e) => log::warn!(address:% = address, error:% = e; "metrics listener unavailable"),
     }
 }
--- a/crates/data-plane/src/status.rs
+++ b/crates/data-plane/src/status.rs
@@ -24,7 +24,7 @@
 type RespondFn = fn(&ClientServer, &str) -> Response;
 
 /// Serves `GET /archlink/readiness`: 200 while the node is ready for clients, 503 otherwise.
-pub async fn serve_readiness(server: Rc<ClientServer>, listener: TcpListener) {
+pub async fn serve_readiness(server: Rc<ClientServer>, listener: Rc<TcpListener>) {
     serve(server, listener, "readiness", |server, path| match path {
         READINESS_PATH => Response::plain(if server.data_plane.is_ready() { 200 } else { 503 }),
         _ => Response::plain(404),
@@ -33,7 +33,7 @@
 }
 
 /// Serves `GET /metrics`: this process's metrics as OpenMetrics text.
-pub async fn serve_metrics(server: Rc<ClientServer>, listener: TcpListener) {
+pub async fn serve_metrics(server: Rc<ClientServer>, listener: Rc<TcpListener>) {
     serve(server, listener, "metrics", |server, path| match path {
         METRICS_PATH => {
             let (connections, in_flight) = (server.open_connections.get(), server.requests_in_flight.get());
@@ -46,7 +46,7 @@
     .await;
 }
 
-async fn serve(server: Rc<ClientServer>, listener: TcpListener, name: &'static str, respond: RespondFn) {
+async fn serve(server: Rc<ClientServer>, listener: Rc<TcpListener>, name: &'static str, respond: RespondFn) {
     // Its reference count is 1 plus the number of open connections.
     let open_connections = Rc::new(());
     loop {
--- a/crates/data-plane/src/tests/mod.rs
+++ b/crates/data-plane/src/tests/mod.rs
@@ -165,6 +165,6 @@
     let server = Rc::new(ClientServer::new(data_plane, stages, Rc::new(Cell::new(1 << 20)), 8));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    spawn_local(listener::listen(server.clone(), listener));
+    spawn_local(listener::listen(server.clone(), Rc::new(listener)));
     (server, address, stage)
 }
--- a/crates/data-plane/src/tests/quota.rs
+++ b/crates/data-plane/src/tests/quota.rs
@@ -4,6 +4,7 @@
 use crate::data_plane::DataPlane;
 use crate::quota_enforcement::QuotaExceeded;
 use archlink_config::Tenant;
+use futures_util::future::join;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::runtime::LocalOptions;
@@ -54,3 +55,24 @@
         assert!(started.elapsed() <= Duration::from_millis(150), "{:?}", started.elapsed());
     });
 }
+
+/// Guards against a count that goes on with half of its state after a panic: it begins anew, the waiting requests end at once,
+/// and later ones are counted.
+#[test]
+fn counting_begins_anew_and_waiting_requests_end() {
+    with_data_plane(async |data_plane, tenant| {
+        let started = Instant::now();
+        let reset = async {
+            let first_adds = data_plane.quota.take_adds();
+            data_plane.reset_quota_counting();
+            first_adds
+        };
+        let (acquired, first_adds) = join(data_plane.acquire_quota(&tenant, TIME_LIMIT), reset).await;
+        assert!(acquired.is_err() && started.elapsed().is_zero(), "{:?}", started.elapsed());
+        data_plane.set_counter_reachable(true);
+        let later_adds = async { data_plane.quota.take_adds() };
+        let (_, later_adds) = join(data_plane.acquire_quota(&tenant, TIME_LIMIT), later_adds).await;
+        assert!(!first_adds.is_empty());
+        assert_eq!(later_adds, first_adds, "the same first add to the same window");
+    });
+}
--- a/crates/data-plane/src/tests/status.rs
+++ b/crates/data-plane/src/tests/status.rs
@@ -23,7 +23,7 @@
         let (server, clients, _stage) = listen(data_plane.clone()).await;
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        spawn_local(status::serve_metrics(server, listener));
+        spawn_local(status::serve_metrics(server, Rc::new(listener)));
         let (head, _) = get(clients, "/nowhere").await;
         assert!(head.starts_with("HTTP/1.1 400"), "{head}");
         let elapsed = Duration::from_millis(20);
--- a/crates/quota/src/counter_client.rs
+++ b/crates/quota/src/counter_client.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// Begins anew, as after a restart of the process: adds and requests without a result are forgotten. Request ids are not
+    /// assigned again. Quotas have to be set afterwards.
+    pub fn reset(&mut self, now: f64, seed: u64) {
+        let last_request_id = self.last_request_id;
+        *self = CounterClient { last_request_id, ..CounterClient::new(now, seed) };
+    }
+
     /// Replaces all quotas. A tenant keeps the index of its plan, and with it the recorded usage.
     pub fn set_quotas(&mut self, quotas: &[Quota]) {
         for plan in &mut self.plans {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,5 +1,5 @@
 //! Operating system facilities that the control plane and the data plane share: logging, a monotonic clock, the
-//! settings file, signals, random seeds, and connections between the system's own processes.
+//! settings file, signals, random seeds, supervision of tasks, and connections between the system's own processes.
 //!
 //! This package takes no decisions. The cores get time and messages from the drivers, which use this package.
 
@@ -10,6 +10,7 @@
 mod random_seed;
 mod settings_file;
 mod signals;
+mod supervision;
 
 pub use clock::Clock;
 pub use logging::{log_to_stderr, report_line};
@@ -18,3 +19,4 @@
 pub use random_seed::random_seed;
 pub use settings_file::{SettingsFileError, settings_text};
 pub use signals::until_terminated;
+pub use supervision::restart_on_panic;
