Fix: hosts that were slow when they were measured get requests again

Cause: the first response set the estimate of the service time, a response of a cold host counted as it was and was doubled again, and an estimate above the bound could never change, because only responses change it and no request was sent. Hosts that were slow for some seconds locked a service or a single host out in the same way.

A response of a warming-up host is divided by the slowdown and is provisional. The mean of host and pool is one type now (service_time), where the logic stood twice.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -10,7 +10,9 @@
 pub use crate::slow_start::{WarmUpBound, WarmUpLimits};
 
 use crate::host::Host;
-use crate::selection::{Locality, Pool, Selector, ServiceHosts, is_available, latency_target_or_default};
+use crate::selection::{
+    Locality, Pool, Selection, Selector, ServiceHosts, is_available, latency_target_or_default,
+};
 use crate::slow_start::{DataNodes, SlowStart};
 use crate::subset::mark_subset;
 use archlink_messages::{HostInstance, NodeId};
@@ -102,7 +104,7 @@
     pub fn load_shedding_log_lines(&self, now: f64) -> Vec<String> {
         let mut lines = Vec::new();
         for (service, hosts) in &self.services {
-            for (region, Pool { stats, load_shedder }) in &hosts.pool_by_region {
+            for (region, Pool { stats, load_shedder, .. }) in &hosts.pool_by_region {
                 let (admitted_fraction, load, service_time) =
                     (load_shedder.admitted_fraction(now), stats.load(now), stats.service_time());
                 if admitted_fraction < LOGGED_BELOW_FRACTION {
@@ -122,10 +124,10 @@
         (self.hosts.len(), self.hosts.values().filter(|host| host.is_ready()).count())
     }
 
-    /// Selects the host with the lowest cost, see [`crate::selection`]; `None` if none is expected to respond in time
-    /// or the request is shed.
+    /// Selects the host with the lowest cost, see [`crate::selection`], or one whose service time is to be measured again;
+    /// `None` if none is expected to respond in time or the request is shed.
     pub fn select(&mut self, now: f64, request: &HostRequest) -> Option<SelectedHost> {
-        let service = self.services.get(request.service)?;
+        let service = self.services.get_mut(request.service)?;
         let selector = Selector {
             locality: &self.locality,
             hosts: &self.hosts,
@@ -134,7 +136,14 @@
             slow_start: &self.slow_start,
             nodes: &self.nodes,
         };
-        selector.select(now, request, &mut self.rng)
+        let Selection { host: selected, is_probe } = selector.select(now, request, &mut self.rng)?;
+        if let Some(host) = self.hosts.get_mut(&selected.key).filter(|_| is_probe) {
+            host.probes.selected();
+            if let Some(pool) = service.pool_by_region.get_mut(&host.region) {
+                pool.probes.probed(now);
+            }
+        }
+        Some(selected)
     }
 
     /// Records that a request with this latency target is sent to host `key` now.
@@ -155,7 +164,7 @@
     pub fn attempt_ended(&mut self, now: f64, key: u64, elapsed: f64, end: AttemptEnd) {
         let Some(host) = self.hosts.get_mut(&key) else { return };
         let mut pool = pool_of(&mut self.services, host);
-        let own_in_flight = host.in_flight;
+        let (own_in_flight, sent_at, is_probe) = (host.in_flight, now - elapsed, host.probes.request_ended());
         host.in_flight = (host.in_flight - 1.0).max(0.0);
         if end.is_response() {
             host.outlier.response_received(now, host.in_flight);
@@ -175,10 +184,12 @@
             AttemptEnd::Answered(_) => {
                 host.outlier.record_success(now);
                 let service_time = host.estimate_service_time(elapsed, own_in_flight);
-                host.observe_service_time(service_time);
+                let condition = host.observe_service_time(service_time, sent_at, is_probe);
                 // If requests of other data nodes are waiting too, it is unknown how long this one waited.
-                if let Some(pool) = pool.filter(|_| end.load().is_none_or(|load| load.has_free_slot())) {
-                    pool.stats.observe_service_time(service_time);
+                match pool.filter(|_| end.load().is_none_or(|load| load.has_free_slot())) {
+                    Some(pool) if is_probe => pool.stats.observe_probe(service_time, condition),
+                    Some(pool) => pool.stats.observe_service_time(service_time, condition),
+                    None => {}
                 }
             }
             AttemptEnd::Full(_) => host.observe_full(),
@@ -188,7 +199,7 @@
                 host.outlier.request_cancelled(host.in_flight);
                 let pool_service_time = pool.map_or(0.0, |pool| pool.stats.service_time());
                 let min_service_time = host.estimate_service_time(elapsed, own_in_flight);
-                host.observe_min_service_time(min_service_time, pool_service_time);
+                host.observe_min_service_time(min_service_time, sent_at, pool_service_time);
             }
             AttemptEnd::Misdirected => host.misdirected = true,
             AttemptEnd::ConnectFailed | AttemptEnd::TimedOut => host.outlier.eject(now),
--- a/crates/balancer/src/host.rs
+++ b/crates/balancer/src/host.rs
@@ -3,20 +3,17 @@
 use crate::attempt::HostLoad;
 use crate::outlier::OutlierState;
 use crate::pool_stats::PoolStats;
+use crate::probing::HostProbes;
+use crate::service_time::{Condition, ServiceTimeEstimate};
 use crate::slow_start::WarmUp;
 use archlink_messages::HostInstance;
 
-/// Weight of one response in the moving average of a host's service time: a few tens of responses tell a host's speed
-/// from the variation between requests.
-const SERVICE_TIME_WEIGHT: f64 = 0.06;
 /// Weight of one load report in the moving average of other data nodes' requests: a few reports show their load.
 const OTHERS_IN_FLIGHT_WEIGHT: f64 = 0.5;
 /// Time constant in seconds by which a load report loses its weight; the average load of the pool takes its place.
 const LOAD_REPORT_DECAY_TIME: f64 = 2.0;
 /// Requests per slot that other data nodes are assumed to have in flight at a host that rejects a request as full.
 const FULL_LOAD: f64 = 2.0;
-/// Factor on a host's service time while it is warming up.
-const WARM_UP_SLOWDOWN: f64 = 2.0;
 
 /// The state of one host instance.
 pub(crate) struct Host {
@@ -27,8 +24,9 @@
     /// Requests of other data nodes in flight at the host, as of `others_updated_at`.
     others_in_flight: f64,
     others_updated_at: f64,
-    /// Mean service time in seconds, without waiting; 0 until the first response.
-    service_time: f64,
+    /// Service time without waiting.
+    service_time: ServiceTimeEstimate,
+    pub(crate) probes: HostProbes,
     /// Requests that the host runs concurrently.
     slots: f64,
     pub(crate) outlier: OutlierState,
@@ -48,7 +46,8 @@
             in_flight: 0.0,
             others_in_flight: 0.0,
             others_updated_at: now,
-            service_time: 0.0,
+            service_time: ServiceTimeEstimate::default(),
+            probes: HostProbes::new(now),
             slots: f64::from(instance.capacity.max(1)),
             outlier: OutlierState::new(now),
             warm_up: WarmUp::new(now + f64::from(instance.warm_up_seconds)),
@@ -73,26 +72,35 @@
         !self.removed && !self.instance.draining
     }
 
-    /// Service time in seconds; the pool's until the host's first response.
+    /// Service time in seconds once the host is warm; the pool's until the host's first response.
     pub(crate) fn service_time(&self, pool: &PoolStats) -> f64 {
-        if self.service_time > 0.0 { self.service_time } else { pool.service_time() }
+        self.service_time.mean().unwrap_or_else(|| pool.service_time())
+    }
+
+    /// Expected response time in seconds of a request sent now if the host were idle.
+    pub(crate) fn expected_idle_time(&self, now: f64, pool: &PoolStats) -> f64 {
+        self.service_time(pool) * self.condition(now).slowdown()
+    }
+
+    /// Whether the host is warming up.
+    fn condition(&self, now: f64) -> Condition {
+        if self.warm_up.is_active(now) { Condition::WarmingUp } else { Condition::Warm }
     }
 
     /// Expected response time in seconds of a request sent now, waiting included.
     pub(crate) fn expected_time(&self, now: f64, pool: &PoolStats) -> f64 {
-        let service_time = self.service_time(pool);
         let report_weight = (-(now - self.others_updated_at) / LOAD_REPORT_DECAY_TIME).exp();
         let pool_estimate = (pool.load(now) * self.slots - self.in_flight).max(0.0);
         let others_in_flight = report_weight * self.others_in_flight + (1.0 - report_weight) * pool_estimate;
         let waiting_ahead = (self.in_flight + others_in_flight + 1.0 - self.slots).max(0.0);
-        let slowdown = if self.warm_up.is_active(now) { WARM_UP_SLOWDOWN } else { 1.0 };
-        service_time * slowdown * (1.0 + waiting_ahead / self.slots)
+        self.expected_idle_time(now, pool) * (1.0 + waiting_ahead / self.slots)
     }
 
     pub(crate) fn request_sent(&mut self, now: f64) {
         self.in_flight += 1.0;
         self.outlier.request_sent(now);
         self.warm_up.request_sent(now);
+        self.probes.request_sent(now);
     }
 
     /// Records a load report. The host made it before the reporting request ended, so it includes `own_in_flight`
@@ -116,21 +124,31 @@
         elapsed / ((own_in_flight + self.others_in_flight) / self.slots).max(1.0)
     }
 
-    /// Records the service time of one request.
-    pub(crate) fn observe_service_time(&mut self, service_time: f64) {
-        self.service_time = if self.service_time > 0.0 {
-            self.service_time + SERVICE_TIME_WEIGHT * (service_time - self.service_time)
+    /// Records the service time of a request that was sent at `sent_at`; of a probe, in place of the earlier ones. Returns the
+    /// host's condition at that time.
+    pub(crate) fn observe_service_time(
+        &mut self,
+        service_time: f64,
+        sent_at: f64,
+        is_probe: bool,
+    ) -> Condition {
+        let condition = self.condition(sent_at);
+        if is_probe {
+            self.service_time.replace(service_time, condition);
         } else {
-            service_time
-        };
+            self.service_time.observe(service_time, condition);
+        }
+        condition
     }
 
-    /// Records a lower bound of the service time of one request. Until the host's first response it is compared with
-    /// `pool_service_time`.
-    pub(crate) fn observe_min_service_time(&mut self, min_service_time: f64, pool_service_time: f64) {
-        let known = if self.service_time > 0.0 { self.service_time } else { pool_service_time };
-        if min_service_time > known {
-            self.service_time = known + SERVICE_TIME_WEIGHT * (min_service_time - known);
-        }
+    /// Records a lower bound of the service time of a request that was sent at `sent_at`. Until the host's first response it is
+    /// compared with `pool_service_time`.
+    pub(crate) fn observe_min_service_time(
+        &mut self,
+        min_service_time: f64,
+        sent_at: f64,
+        pool_service_time: f64,
+    ) {
+        self.service_time.observe_minimum(min_service_time, self.condition(sent_at), pool_service_time);
     }
 }
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -5,8 +5,10 @@
 //! - `subset`: the few hosts that a data node prefers.
 //! - [`slow_start`]: how many requests a host that is warming up may get.
 //! - `outlier`: ejection of unreachable hosts and avoidance of unhealthy ones.
+//! - `probing`: tests of hosts that get no requests because they were slow.
 //! - [`load_shedding`]: which requests are rejected early while hosts are full.
-//! - [`attempt`], `host`, [`pool_stats`]: how attempts end, and the statistics of each host and of each pool of hosts.
+//! - [`attempt`], `host`, [`pool_stats`], [`service_time`]: how attempts end, and the statistics of each host and of each
+//!   pool of hosts.
 //! - [`retry_budget`]: whether a request may be retried.
 //!
 //! This crate does no I/O and reads no clock: callers pass all times, in seconds of the data node's monotonic clock.
@@ -18,7 +20,9 @@
 pub mod load_shedding;
 mod outlier;
 pub mod pool_stats;
+mod probing;
 pub mod retry_budget;
 pub mod selection;
+pub mod service_time;
 pub mod slow_start;
 mod subset;
--- a/crates/balancer/src/pool_stats.rs
+++ b/crates/balancer/src/pool_stats.rs
@@ -4,11 +4,11 @@
 //! host too rarely to rely on, but often enough from the whole pool. A host's own recent statistics take precedence
 //! over these.
 
+use crate::service_time::{Condition, ServiceTimeEstimate};
+
 /// Weight of one load report in the moving average, which spans about ten responses: a second or less at the smallest
 /// data node.
 const LOAD_WEIGHT: f64 = 0.12;
-/// Weight of one response in the moving average of the service time, which varies more than the load.
-const SERVICE_TIME_WEIGHT: f64 = 0.06;
 /// Time constant in seconds by which the load decays while no report arrives: this data node has no requests in flight,
 /// and those of other data nodes complete.
 const LOAD_DECAY_TIME: f64 = 3.0;
@@ -20,8 +20,7 @@
 pub struct PoolStats {
     load: f64,
     load_updated_at: f64,
-    /// 0 until the first response.
-    service_time: f64,
+    service_time: ServiceTimeEstimate,
     /// Number of load reports, counted until each has its final weight.
     reports: f64,
 }
@@ -36,12 +35,17 @@
     }
 
     /// Records the service time of one request in seconds: its response time without waiting.
-    pub fn observe_service_time(&mut self, service_time: f64) {
-        self.service_time = if self.service_time > 0.0 {
-            self.service_time + SERVICE_TIME_WEIGHT * (service_time - self.service_time)
+    pub fn observe_service_time(&mut self, service_time: f64, condition: Condition) {
+        self.service_time.observe(service_time, condition);
+    }
+
+    /// Records the service time of a probe. If it is lower than the estimate, the estimate is out of date and is replaced.
+    pub fn observe_probe(&mut self, service_time: f64, condition: Condition) {
+        if service_time / condition.slowdown() < self.service_time() {
+            self.service_time.replace(service_time, condition);
         } else {
-            service_time
-        };
+            self.service_time.observe(service_time, condition);
+        }
     }
 
     /// Requests, running and waiting, per slot of an average host.
@@ -49,8 +53,8 @@
         self.load * (-(now - self.load_updated_at).max(0.0) / LOAD_DECAY_TIME).exp()
     }
 
-    /// Mean service time in seconds.
+    /// Mean service time of warm hosts in seconds.
     pub fn service_time(&self) -> f64 {
-        if self.service_time > 0.0 { self.service_time } else { INITIAL_SERVICE_TIME }
+        self.service_time.mean().unwrap_or(INITIAL_SERVICE_TIME)
     }
 }
--- a/crates/balancer/src/selection.rs
+++ b/crates/balancer/src/selection.rs
@@ -4,12 +4,15 @@
 //! nodes according to the host's load reports, and its service time. A host in another zone or region, outside the
 //! subset, suspected or unhealthy costs more by a fraction of the request's latency target.
 //!
+//! A host that is passed over for its service time is probed from time to time (`probing`).
+//!
 //! Invariant: a host is never selected that is draining or removed, whose zone is evacuated, that lies outside the
 //! request's home regions, or that is warming up and has received this data node's portion of the bound.
 
 use crate::host::Host;
 use crate::load_shedding::{LoadShedder, ShedCandidate};
 use crate::pool_stats::PoolStats;
+use crate::probing::{self, PoolProbes};
 use crate::slow_start::{DataNodes, SlowStart};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
@@ -74,6 +77,7 @@
 pub(crate) struct Pool {
     pub(crate) stats: PoolStats,
     pub(crate) load_shedder: LoadShedder,
+    pub(crate) probes: PoolProbes,
 }
 
 /// A service's hosts.
@@ -106,16 +110,18 @@
 }
 
 impl Selector<'_> {
-    /// The host with the lowest cost; `None` if no eligible host is expected to respond in time. Draws one random
-    /// number for each host that is.
+    /// The host with the lowest cost among those that are expected to respond in time, or one that is due for a probe; `None`
+    /// if there is neither. Draws one random number for each host that is expected to respond in time.
     pub(crate) fn select(
         &self,
         now: f64,
         request: &HostRequest,
         rng: &mut oorandom::Rand64,
-    ) -> Option<SelectedHost> {
+    ) -> Option<Selection> {
         let shedding_regions = self.shedding_regions(now, request);
+        let max_time = request.remaining * USABLE_TIME_FRACTION;
         let mut best: Option<(f64, Candidate)> = None;
+        let mut slow: Vec<Candidate> = Vec::new();
         for &key in &self.service.host_keys {
             let (Some(host), false) = (self.hosts.get(&key), request.tried.contains(&key)) else { continue };
             let Some(pool) = self.service.pool_by_region.get(&host.region) else { continue };
@@ -123,7 +129,10 @@
                 continue;
             }
             let Estimate { expected_time, cost } = self.estimate(host, request, &pool.stats, now);
-            if expected_time > request.remaining * USABLE_TIME_FRACTION {
+            if expected_time > max_time {
+                if host.expected_idle_time(now, &pool.stats) > max_time {
+                    slow.push(Candidate { key, host, expected_time });
+                }
                 continue;
             }
             let jittered_cost = cost * (1.0 + COST_JITTER * rng.rand_float());
@@ -131,7 +140,32 @@
                 best = Some((jittered_cost, Candidate { key, host, expected_time }));
             }
         }
-        best.map(|(_, candidate)| candidate.into())
+        let best = best.map(|(_, candidate)| candidate);
+        let probed = self.host_to_probe(now, request, slow, best.is_some());
+        let is_probe = probed.is_some();
+        probed.or(best).map(|candidate| Selection { host: candidate.into(), is_probe })
+    }
+
+    /// The host to probe among those that are too slow even when idle: the one with the lowest expected time.
+    fn host_to_probe<'a>(
+        &self,
+        now: f64,
+        request: &HostRequest,
+        slow: Vec<Candidate<'a>>,
+        has_alternative: bool,
+    ) -> Option<Candidate<'a>> {
+        if !probing::is_suitable(latency_target_or_default(request.latency_target), request.remaining) {
+            return None;
+        }
+        let is_due = |candidate: &Candidate| {
+            let host = candidate.host;
+            let pool = self.service.pool_by_region.get(&host.region);
+            host.in_flight <= 0.0
+                && host.probes.is_due(now, has_alternative)
+                && pool.is_some_and(|pool| pool.probes.is_due(now))
+        };
+        let due = slow.into_iter().filter(is_due);
+        due.min_by(|a, b| a.expected_time.total_cmp(&b.expected_time))
     }
 
     /// Regions whose load shedder rejects the request.
@@ -178,6 +212,13 @@
     host.is_ready() && !host.misdirected && !evacuated.contains(&host.instance.zone)
 }
 
+/// The result of a selection.
+pub(crate) struct Selection {
+    pub(crate) host: SelectedHost,
+    /// Whether the request measures the host's service time again.
+    pub(crate) is_probe: bool,
+}
+
 /// A host that may be selected.
 struct Candidate<'a> {
     key: u64,
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -41,6 +41,7 @@
 }
 
 /// The id of the host that is selected for a request.
+#[allow(dead_code, reason = "not every test file needs it")]
 pub fn selected_id(balancer: &mut Balancer, now: f64, request: &HostRequest) -> Option<String> {
     balancer.select(now, request).map(|selected| selected.id)
 }
