--- a/crates/admission/src/quota.rs
+++ b/crates/admission/src/quota.rs
@@ -35,13 +35,13 @@
     /// Checks the rate limit and the quota, and dispatches or rejects the request, perhaps after a reply of the counter.
     pub(crate) fn check_quota(&mut self, driver: &mut dyn Driver, id: u32) {
         let (_, plan, _) = self.quota_subject(id);
-        match (
-            self.rate_limits[plan].enforced_by_counter || self.within_rate_limit(id),
-            self.tiers[plan].is_empty(),
-        ) {
-            (false, _) => self.reject_overloaded(driver, id),
-            (_, true) => self.dispatch(driver, id),
-            _ => self.add_to_tier(driver, id, self.active_tier(id)),
+        let is_within_rate_limit = self.rate_limits[plan].enforced_by_counter || self.within_rate_limit(id);
+        if !is_within_rate_limit {
+            self.reject_overloaded(driver, id);
+        } else if self.tiers[plan].is_empty() {
+            self.dispatch(driver, id);
+        } else {
+            self.add_to_tier(driver, id, self.active_tier(id));
         }
     }
 
